Add the design, the build and the interfaces of the core

Cause: every later part needs one statement of the requirements, the state owners and the messages, and types to compile against.

Change: docs/design.md, docs/glossary.md, a Maven build with Kotlin, detekt and its formatting rules, and the typed messages, commands and wire bodies.

Conclusion: the modules can be built in parallel against these types.

--- /dev/null
+++ b/core/src/main/kotlin/org/auburnlever/codec/Bytes.kt
@@ -0,0 +1,30 @@
+package org.auburnlever.codec
+
+import kotlinx.serialization.Serializable
+
+/** An immutable run of bytes with equality by content. */
+@Serializable
+class Bytes(private val array: ByteArray) {
+    /** Number of bytes. */
+    val size: Int get() = array.size
+
+    /** Returns a copy, so that callers can't change this value. */
+    fun toByteArray(): ByteArray = array.copyOf()
+
+    override fun equals(other: Any?): Boolean = other is Bytes && array.contentEquals(other.array)
+
+    override fun hashCode(): Int = array.contentHashCode()
+
+    override fun toString(): String = "Bytes($size)"
+
+    companion object {
+        /** A value without bytes. */
+        val EMPTY = Bytes(ByteArray(0))
+
+        /** Encodes [text] as UTF-8. */
+        fun of(text: String): Bytes = Bytes(text.encodeToByteArray())
+    }
+}
+
+/** Decodes the bytes as UTF-8. */
+fun Bytes.decodeToString(): String = toByteArray().decodeToString()
--- /dev/null
+++ b/core/src/main/kotlin/org/auburnlever/consensus/LogEntry.kt
@@ -0,0 +1,37 @@
+package org.auburnlever.consensus
+
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+import org.auburnlever.codec.Bytes
+
+/** One record of a group's log. */
+@Serializable
+data class LogEntry(val index: Long, val term: Long, val payload: EntryPayload)
+
+/** Content of a [LogEntry]. */
+@Serializable
+sealed interface EntryPayload {
+    /** A command of the group's state machine. */
+    @Serializable
+    @SerialName("command")
+    data class Command(val command: Bytes) : EntryPayload
+
+    /** Replaces the group's membership from this index on. */
+    @Serializable
+    @SerialName("membership")
+    data class Members(val membership: Membership) : EntryPayload
+
+    /** Written by a new leader, so that entries of earlier terms can be committed. */
+    @Serializable
+    @SerialName("empty")
+    data object Empty : EntryPayload
+}
+
+/** State machine of a group at [lastIndex], which replaces all entries up to there. */
+@Serializable
+data class Snapshot(
+    val lastIndex: Long,
+    val lastTerm: Long,
+    val membership: Membership,
+    val state: Bytes,
+)
--- /dev/null
+++ b/core/src/main/kotlin/org/auburnlever/consensus/ReplicaId.kt
@@ -0,0 +1,31 @@
+package org.auburnlever.consensus
+
+import kotlinx.serialization.Serializable
+import org.auburnlever.world.HostName
+
+/**
+ * Identifies one copy of a group's log.
+ *
+ * [incarnation] changes when a host loses its disk, so that the empty copy can't vote with the old one's rights.
+ */
+@Serializable
+data class ReplicaId(val host: HostName, val incarnation: Long) {
+    override fun toString(): String = "$host#$incarnation"
+}
+
+/** Part that a replica plays in its group. */
+@Serializable
+enum class ReplicaRole {
+    /** Votes and stands for election. */
+    VOTER,
+
+    /** Votes and stores the log; stands for election only when no voter does, and hands leadership on. */
+    WITNESS,
+
+    /** Receives the log without a vote. */
+    LEARNER,
+}
+
+/** The replicas of a group and their roles. */
+@Serializable
+data class Membership(val roles: Map<ReplicaId, ReplicaRole>)
--- /dev/null
+++ b/core/src/main/kotlin/org/auburnlever/ledger/LedgerCommand.kt
@@ -0,0 +1,133 @@
+package org.auburnlever.ledger
+
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+import org.auburnlever.wire.JobSpec
+import org.auburnlever.wire.JobView
+import org.auburnlever.wire.Outcome
+import org.auburnlever.wire.TaskReport
+import org.auburnlever.wire.WorkerHeartbeat
+import org.auburnlever.world.AccountName
+import org.auburnlever.world.DomainName
+import org.auburnlever.world.HostName
+import org.auburnlever.world.ServiceName
+import org.auburnlever.world.WorkerName
+
+/** A ledger command with the time at which the leader took it. Ledger time never goes back. */
+@Serializable
+data class StampedCommand(val nowMillis: Long, val command: LedgerCommand)
+
+/** Identity of a job or non-repeatable request: the caller's key within its account. */
+@Serializable
+data class RequestKey(val account: AccountName, val key: String)
+
+/** Command of a failure domain's ledger. */
+@Serializable
+sealed interface LedgerCommand {
+    /**
+     * Takes the right to run [key] once. [bodySha256Hex] ties the key to its content. A resend carries a new
+     * [claimId]; only the holder of the granted claim id may record the outcome.
+     */
+    @Serializable
+    @SerialName("claim")
+    data class Claim(
+        val key: RequestKey,
+        val bodySha256Hex: String,
+        val purpose: ClaimPurpose,
+        val claimId: String,
+        val entryHost: HostName,
+        val timeoutMillis: Long,
+    ) : LedgerCommand
+
+    /** Records how the claimed request ended. */
+    @Serializable
+    @SerialName("record_outcome")
+    data class RecordOutcome(val key: RequestKey, val claimId: String, val outcome: Outcome) : LedgerCommand
+
+    /** Adds a job; idempotent by [key]. */
+    @Serializable
+    @SerialName("submit_job")
+    data class SubmitJob(
+        val jobId: String,
+        val key: RequestKey,
+        val bodySha256Hex: String,
+        val spec: JobSpec,
+    ) : LedgerCommand
+
+    /** Ends a job of [account] wherever it stands. */
+    @Serializable
+    @SerialName("cancel_job")
+    data class CancelJob(val jobId: String, val account: AccountName) : LedgerCommand
+
+    /** A worker announced itself, or its announcement changed. */
+    @Serializable
+    @SerialName("worker_seen")
+    data class WorkerSeen(val heartbeat: WorkerHeartbeat) : LedgerCommand
+
+    /** The lease of the worker's [epochMillis] ended. */
+    @Serializable
+    @SerialName("worker_lost")
+    data class WorkerLost(val worker: WorkerName, val epochMillis: Long) : LedgerCommand
+
+    /** Tasks of a worker changed their status. */
+    @Serializable
+    @SerialName("tasks_reported")
+    data class TasksReported(
+        val worker: WorkerName,
+        val epochMillis: Long,
+        val reports: List<TaskReport>,
+    ) : LedgerCommand
+
+    /** Places a queued job, or starts, stops or ends it; made by the scheduler on the leader. */
+    @Serializable
+    @SerialName("schedule")
+    data class Schedule(val actions: List<ScheduleAction>) : LedgerCommand
+
+    /** Lets due deadlines take effect: claims, reservations, retention. */
+    @Serializable
+    @SerialName("time_passed")
+    data object TimePassed : LedgerCommand
+}
+
+/** What a claim is for. */
+@Serializable
+sealed interface ClaimPurpose {
+    /** A non-repeatable request to [service]. */
+    @Serializable
+    @SerialName("request")
+    data class Request(val service: ServiceName) : ClaimPurpose
+
+    /** A job that runs in [failureDomain]. */
+    @Serializable
+    @SerialName("job")
+    data class Job(val jobId: String, val failureDomain: DomainName) : ClaimPurpose
+}
+
+/** Answer to a [LedgerCommand]. */
+@Serializable
+sealed interface LedgerReply {
+    /** The claim is the caller's; it may run the request now. */
+    @Serializable
+    @SerialName("claim_granted")
+    data class ClaimGranted(val attempt: Int) : LedgerReply
+
+    /** The key was claimed before; [outcome] is null while the request is in progress. */
+    @Serializable
+    @SerialName("claim_exists")
+    data class ClaimExists(val purpose: ClaimPurpose, val outcome: Outcome?) : LedgerReply
+
+    /** The job is known under [view]. */
+    @Serializable
+    @SerialName("job")
+    data class Job(val view: JobView) : LedgerReply
+
+    /** The command changed what it should. */
+    @Serializable
+    @SerialName("done")
+    data object Done : LedgerReply
+
+    /** The command has no effect; [refusal] says whether the work was or may have been run. */
+    @Serializable
+    @SerialName("rejected")
+    data class Rejected(val refusal: Outcome) : LedgerReply
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/auburnlever/ledger/ScheduleAction.kt
@@ -0,0 +1,57 @@
+package org.auburnlever.ledger
+
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+import org.auburnlever.world.AccountName
+import org.auburnlever.world.Shape
+import org.auburnlever.world.WorkerName
+
+/** Accelerators of one worker that a task holds; [accelerators] is a contiguous run of indices. */
+@Serializable
+data class TaskPlacement(val worker: WorkerName, val accelerators: List<Int>)
+
+/** Placement of each task of a gang, by task index. */
+@Serializable
+data class GangPlacement(val tasks: List<TaskPlacement>)
+
+/** One guaranteed shape of an account; [index] numbers equal guarantees of the account in the bundle. */
+@Serializable
+data class GuaranteeId(val account: AccountName, val index: Int)
+
+/** A guaranteed shape and where it can be claimed; [placement] is null while no place for it exists. */
+@Serializable
+data class PlannedGuarantee(val id: GuaranteeId, val shape: Shape, val placement: GangPlacement?)
+
+/** A decision of the scheduler, validated again when it is applied. */
+@Serializable
+sealed interface ScheduleAction {
+    /** Reserves [placement] for a queued job; [guarantee] names the guaranteed shape that it claims, if any. */
+    @Serializable
+    @SerialName("place")
+    data class Place(
+        val jobId: String,
+        val placement: GangPlacement,
+        val guarantee: GuaranteeId?,
+        val reason: String,
+    ) : ScheduleAction
+
+    /** Stops a job to make room; it is queued again if it is repeatable. */
+    @Serializable
+    @SerialName("preempt")
+    data class Preempt(val jobId: String, val graceMillis: Long, val reason: String) : ScheduleAction
+
+    /** Ends a queued job that can never run. */
+    @Serializable
+    @SerialName("refuse")
+    data class Refuse(val jobId: String, val reason: String) : ScheduleAction
+
+    /** Replaces the plan for unclaimed guarantees. */
+    @Serializable
+    @SerialName("plan_guarantees")
+    data class PlanGuarantees(val bundleVersion: Long, val plan: List<PlannedGuarantee>) : ScheduleAction
+
+    /** Takes a worker out of scheduling until [untilMillis] of ledger time. */
+    @Serializable
+    @SerialName("suspend_worker")
+    data class SuspendWorker(val worker: WorkerName, val untilMillis: Long, val reason: String) : ScheduleAction
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/auburnlever/peer/PeerMessage.kt
@@ -0,0 +1,70 @@
+package org.auburnlever.peer
+
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+import org.auburnlever.consensus.ReplicaId
+import org.auburnlever.consensus.ReplicaMessage
+import org.auburnlever.wire.EndpointAnnouncement
+import org.auburnlever.world.HostName
+
+/** Name of a replicated group: `configuration` or `ledger/<domain>`. */
+@Serializable
+@JvmInline
+value class GroupName(val value: String) {
+    override fun toString(): String = value
+}
+
+/** Message on a link between two `auburnd` processes. */
+@Serializable
+sealed interface PeerMessage {
+    /** A message between two replicas of [group]. */
+    @Serializable
+    @SerialName("consensus")
+    data class Consensus(
+        val group: GroupName,
+        val from: ReplicaId,
+        val to: ReplicaId,
+        val message: ReplicaMessage,
+    ) : PeerMessage
+
+    /** Asks for [request]; the caller stops waiting after [timeoutMillis]. */
+    @Serializable
+    @SerialName("call")
+    data class Call(val callId: Long, val timeoutMillis: Long, val request: PeerRequest) : PeerMessage
+
+    /** Answers the call with the same id. */
+    @Serializable
+    @SerialName("reply")
+    data class Reply(val callId: Long, val reply: PeerReply) : PeerMessage
+
+    /** What a host tells all others every 500 ms. */
+    @Serializable
+    @SerialName("gossip")
+    data class Gossip(
+        val host: HostName,
+        val incarnation: Long,
+        val bundleVersion: Long,
+        val bundleDigestHex: String?,
+        val endpoints: List<AgedAnnouncement>,
+        val leaders: Map<GroupName, GroupLeader>,
+        val loads: List<ServiceLoad>,
+        val capacity: DomainCapacity?,
+        val incarnations: Map<GroupName, Long> = emptyMap(),
+    ) : PeerMessage
+}
+
+/** An announcement and how long ago the endpoint sent it, so that hosts need no common clock. */
+@Serializable
+data class AgedAnnouncement(val announcement: EndpointAnnouncement, val ageMillis: Long)
+
+/** The leader of a group as a host knows it. */
+@Serializable
+data class GroupLeader(val term: Long, val leader: HostName)
+
+/** How busy the sender's domain is for one service. */
+@Serializable
+data class ServiceLoad(val service: String, val freeSlots: Int, val queued: Int)
+
+/** Accelerators of a failure domain, reported by its ledger's leader. */
+@Serializable
+data class DomainCapacity(val domain: String, val acceleratorsTotal: Int, val acceleratorsFree: Int)
--- /dev/null
+++ b/core/src/main/kotlin/org/auburnlever/peer/PeerRequest.kt
@@ -0,0 +1,149 @@
+package org.auburnlever.peer
+
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+import org.auburnlever.codec.Bytes
+import org.auburnlever.configuration.Bundle
+import org.auburnlever.configuration.ConfigurationCommand
+import org.auburnlever.configuration.ConfigurationReply
+import org.auburnlever.consensus.ReplicaId
+import org.auburnlever.ledger.LedgerCommand
+import org.auburnlever.ledger.LedgerReply
+import org.auburnlever.ledger.RequestKey
+import org.auburnlever.wire.HeartbeatReply
+import org.auburnlever.wire.Outcome
+import org.auburnlever.wire.WorkerHeartbeat
+import org.auburnlever.world.AccountName
+import org.auburnlever.world.HostName
+import org.auburnlever.world.ServiceName
+
+/** What one host asks of another. */
+@Serializable
+sealed interface PeerRequest {
+    /** Submit a command to the receiver's ledger group; the receiver must lead it. */
+    @Serializable
+    @SerialName("submit_ledger")
+    data class SubmitLedger(val group: GroupName, val command: LedgerCommand) : PeerRequest
+
+    /** Submit a command to the configuration group; the receiver must lead it. */
+    @Serializable
+    @SerialName("submit_configuration")
+    data class SubmitConfiguration(val command: ConfigurationCommand) : PeerRequest
+
+    /** Read from a ledger; the receiver must lead it and confirms that it still does. */
+    @Serializable
+    @SerialName("read_ledger")
+    data class ReadLedger(val group: GroupName, val query: LedgerQuery) : PeerRequest
+
+    /** Run a service request on an endpoint of the receiver's failure domain. */
+    @Serializable
+    @SerialName("dispatch")
+    data class Dispatch(val request: ServiceRequest) : PeerRequest
+
+    /** A worker's heartbeat, for the leader of its ledger. */
+    @Serializable
+    @SerialName("heartbeat")
+    data class Heartbeat(val heartbeat: WorkerHeartbeat) : PeerRequest
+
+    /** Send the bundle in force. */
+    @Serializable
+    @SerialName("fetch_bundle")
+    data object FetchBundle : PeerRequest
+
+    /** Admit the replica, whose disk is empty, to [group] as learner in place of its old incarnation. */
+    @Serializable
+    @SerialName("admit")
+    data class Admit(val group: GroupName, val replica: ReplicaId) : PeerRequest
+
+    /** Send the state dump of the receiver. */
+    @Serializable
+    @SerialName("dump")
+    data object Dump : PeerRequest
+}
+
+/** A service request on its way to an endpoint. */
+@Serializable
+data class ServiceRequest(
+    val requestId: String,
+    val account: AccountName,
+    val service: ServiceName,
+    val key: RequestKey?,
+    val repeatable: Boolean,
+    val urgent: Boolean,
+    val timeoutMillis: Long,
+    val contentType: String,
+    val body: Bytes,
+)
+
+/** Question to a ledger. */
+@Serializable
+sealed interface LedgerQuery {
+    /** A job of [account]. */
+    @Serializable
+    @SerialName("job")
+    data class Job(val jobId: String, val account: AccountName) : LedgerQuery
+
+    /** The decisions recorded about [name]; [kind] is `job`, `account` or `worker`. */
+    @Serializable
+    @SerialName("explain")
+    data class Explain(val kind: String, val name: String) : LedgerQuery
+
+    /** Counts, workers, guarantees at risk and repairs. */
+    @Serializable
+    @SerialName("summary")
+    data object Summary : LedgerQuery
+}
+
+/** Answer to a [PeerRequest]. */
+@Serializable
+sealed interface PeerReply {
+    /** Answer of a ledger. */
+    @Serializable
+    @SerialName("ledger")
+    data class Ledger(val reply: LedgerReply) : PeerReply
+
+    /** Answer of the configuration group. */
+    @Serializable
+    @SerialName("configuration")
+    data class Configuration(val reply: ConfigurationReply) : PeerReply
+
+    /** JSON answer to a query or dump. */
+    @Serializable
+    @SerialName("document")
+    data class Document(val json: String) : PeerReply
+
+    /** How a dispatched request ended. */
+    @Serializable
+    @SerialName("dispatched")
+    data class Dispatched(val outcome: Outcome) : PeerReply
+
+    /** Orders for a worker. */
+    @Serializable
+    @SerialName("orders")
+    data class Orders(val reply: HeartbeatReply) : PeerReply
+
+    /** The bundle in force, null when the host has none. */
+    @Serializable
+    @SerialName("bundle")
+    data class InForce(val bundle: Bundle?) : PeerReply
+
+    /** The request had no effect and can be sent to [leader], if known. */
+    @Serializable
+    @SerialName("not_leader")
+    data class NotLeader(val leader: HostName?) : PeerReply
+
+    /** The request may have taken effect. */
+    @Serializable
+    @SerialName("undecided")
+    data class Undecided(val message: String) : PeerReply
+
+    /** The request was not understood or not allowed, and had no effect. */
+    @Serializable
+    @SerialName("not_done")
+    data class NotDone(val message: String) : PeerReply
+
+    /** The request was admitted or done. */
+    @Serializable
+    @SerialName("ok")
+    data object Ok : PeerReply
+}
--- /dev/null
+++ b/core/src/test/kotlin/org/auburnlever/codec/CodecTest.kt
@@ -0,0 +1,21 @@
+package org.auburnlever.codec
+
+import org.auburnlever.ledger.LedgerCommand
+import org.auburnlever.ledger.RequestKey
+import org.auburnlever.ledger.StampedCommand
+import org.auburnlever.wire.Answer
+import org.auburnlever.wire.Outcome
+import org.auburnlever.world.AccountName
+import kotlin.test.Test
+import kotlin.test.assertEquals
+
+class CodecTest {
+    /** Guards against a sealed type or value class that does not survive CBOR, which would corrupt log records. */
+    @Test
+    fun `a stamped command is the same after CBOR`() {
+        val answer = Answer("text/plain", 2, "ab", Bytes.of("hi"))
+        val key = RequestKey(AccountName("dakar-glass"), "1-x")
+        val command = StampedCommand(7, LedgerCommand.RecordOutcome(key, "claim", Outcome.Completed(answer)))
+        assertEquals(command, Codec.decode<StampedCommand>(Codec.encode(command)))
+    }
+}
--- /dev/null
+++ b/node/src/main/kotlin/org/auburnlever/entry/HttpAnswers.kt
@@ -0,0 +1,55 @@
+package org.auburnlever.entry
+
+import com.linecorp.armeria.common.HttpData
+import com.linecorp.armeria.common.HttpResponse
+import com.linecorp.armeria.common.HttpStatus
+import com.linecorp.armeria.common.MediaType
+import com.linecorp.armeria.common.ResponseHeaders
+import kotlinx.serialization.KSerializer
+import org.auburnlever.codec.Codec
+import org.auburnlever.wire.ErrorBody
+import org.auburnlever.wire.ErrorCode
+import org.auburnlever.wire.Headers
+import org.auburnlever.wire.Outcome
+
+/** Answers with [value] as JSON. */
+internal fun <T> jsonResponse(
+    serializer: KSerializer<T>,
+    value: T,
+    status: HttpStatus = HttpStatus.OK,
+): HttpResponse = HttpResponse.of(status, MediaType.JSON, Codec.json.encodeToString(serializer, value))
+
+/** Answers with an error whose work was not run. */
+internal fun refusal(code: ErrorCode, message: String): HttpResponse = Outcome.Refused(code, message).toHttpResponse()
+
+/** Answers with the outcome of a request: the answer itself, or an [ErrorBody] that says whether it ran. */
+internal fun Outcome.toHttpResponse(): HttpResponse =
+    when (this) {
+        is Outcome.Completed -> completedResponse()
+        is Outcome.Refused -> errorResponse(code, message, "refused")
+        is Outcome.Failed -> errorResponse(code, message, "failed")
+        is Outcome.Unknown -> errorResponse(code, message, "unknown")
+    }
+
+private fun Outcome.Completed.completedResponse(): HttpResponse {
+    val body = answer.body ?: return errorResponse(
+        ErrorCode.TOO_LARGE,
+        "completed; the answer of ${answer.lengthBytes} bytes with SHA-256 ${answer.sha256Hex} was not stored",
+        "completed",
+    )
+    val headers = ResponseHeaders.builder(HttpStatus.OK)
+        .contentType(MediaType.parse(answer.contentType))
+        .add(Headers.OUTCOME, "completed")
+        .build()
+    return HttpResponse.of(headers, HttpData.wrap(body.toByteArray()))
+}
+
+private fun errorResponse(code: ErrorCode, message: String, outcome: String): HttpResponse {
+    val headers = ResponseHeaders.builder(HttpStatus.valueOf(code.httpStatus))
+        .contentType(MediaType.JSON)
+        .add(Headers.OUTCOME, outcome)
+        .add(Headers.ERROR_CODE, Codec.json.encodeToString(ErrorCode.serializer(), code).trim('"'))
+        .build()
+    val body = Codec.json.encodeToString(ErrorBody.serializer(), ErrorBody(code, message, outcome))
+    return HttpResponse.of(headers, HttpData.ofUtf8(body))
+}
