Add request routing: endpoints, queue, claims and the entry services

Cause: callers need their requests answered by announced endpoints, at most once when they are not repeatable.

Change: package routing in core holds the pure decisions (endpoint registry, choice, slot shares, ejection, retry budget, admission queue, key owner, loads of other domains). Package entry in node holds ServiceRequestService, EndpointAnnouncementService, Dispatcher, Forwarder, DomainRouting and the endpoint HTTP client. The header auburn-first-attempt lets a caller assert that a key was never sent; only then is a claim that could not be submitted answered with refused, otherwise with unknown.

Ruled out: Armeria's retry, health check and load balancing features; one connection pool for all requests, because an idle connection that went silent would leave requests that are not repeatable with an unknown outcome.

--- /dev/null
+++ b/core/src/main/kotlin/org/auburnlever/routing/RoutingRules.kt
@@ -0,0 +1,113 @@
+package org.auburnlever.routing
+
+import org.auburnlever.peer.AgedAnnouncement
+import org.auburnlever.peer.ServiceLoad
+import org.auburnlever.world.EndpointName
+import org.auburnlever.world.ServiceName
+import kotlin.random.Random
+
+/** The changes of a [RoutingState]; [shares] says which part of each endpoint this host may use. */
+class RoutingRules(private val shares: EntryShares) {
+    /** Adds announcements, drops what is too old to matter, and forgets the load of endpoints that are gone. */
+    fun heard(state: RoutingState, announcements: List<AgedAnnouncement>, nowMillis: Long): RoutingState {
+        val registry = state.registry.merge(announcements, nowMillis).forgetOld(nowMillis)
+        val gone = state.loads.keys.filter { it !in registry.known }
+        return state.copy(
+            registry = registry,
+            loads = gone.fold(state.loads) { rest, endpoint -> rest.remove(endpoint) },
+        )
+    }
+
+    /** Endpoints of [service] that this host may use, without ejected ones. */
+    fun candidates(state: RoutingState, service: ServiceName, nowMillis: Long): List<Candidate> {
+        val usable = state.registry.live(service, nowMillis)
+            .map { Candidate(it, state.load(it), limit(it)) }
+            .filter { it.limit > 0 }
+        return EndpointChoice.withoutEjected(usable, nowMillis)
+    }
+
+    /** Requests that this host may have at the endpoint at one time. */
+    fun limit(endpoint: KnownEndpoint): Int = shares.requestLimit(endpoint.announcement)
+
+    /** Takes a slot for [service], if possible not at one of the [avoided] endpoints; null if none is free. */
+    fun acquire(
+        state: RoutingState,
+        service: ServiceName,
+        avoided: Set<EndpointName>,
+        nowMillis: Long,
+        random: Random,
+    ): Transition<RoutingState, SlotGrant?> {
+        val candidates = candidates(state, service, nowMillis)
+        val preferred = candidates.filter { it.endpoint.announcement.endpoint !in avoided }
+        val chosen = EndpointChoice.choose(preferred, nowMillis, random)
+            ?: EndpointChoice.choose(candidates, nowMillis, random)
+        return if (chosen == null) Transition(state, null) else taken(state, chosen)
+    }
+
+    /** Gives the slot of [grant] back. */
+    fun release(state: RoutingState, grant: SlotGrant, end: AttemptEnd, nowMillis: Long): RoutingState {
+        val load = state.loads[grant.endpoint]
+        return if (load == null || load.epochMillis != grant.epochMillis) {
+            state
+        } else {
+            state.copy(loads = state.loads.put(grant.endpoint, load.ended(end, nowMillis)))
+        }
+    }
+
+    /** Gives a free slot of [service] to the next waiting request; null if there is no slot or no request. */
+    fun admitNext(
+        state: RoutingState,
+        service: ServiceName,
+        nowMillis: Long,
+        random: Random,
+    ): Transition<RoutingState, Admission?> {
+        val (queue, ticket, expired) = state.queue(service).take(nowMillis)
+        val acquired = ticket?.let { acquire(state, service, emptySet(), nowMillis, random) }
+        val grant = acquired?.result
+        return if (grant == null || ticket == null) {
+            Transition(state, null)
+        } else {
+            Transition(acquired.state.withQueue(service, queue), Admission(ticket, grant, expired))
+        }
+    }
+
+    /** Asks for a place in the queue of [service]. */
+    fun enqueue(
+        state: RoutingState,
+        service: ServiceName,
+        ticket: Ticket,
+        maxQueue: Int,
+        nowMillis: Long,
+    ): Transition<RoutingState, Offer> {
+        val slotMillis = slotMillis(candidates(state, service, nowMillis))
+        return when (val offer = state.queue(service).offer(ticket, maxQueue, slotMillis, nowMillis)) {
+            is Offer.Waiting -> Transition(state.withQueue(service, offer.queue), offer)
+            else -> Transition(state, offer)
+        }
+    }
+
+    /** Free slots and waiting requests of this host for each service with live endpoints, for gossip. */
+    fun serviceLoads(state: RoutingState, nowMillis: Long): List<ServiceLoad> =
+        state.registry.services(nowMillis).map { service ->
+            val free = candidates(state, service, nowMillis).sumOf { it.freeSlots(nowMillis) }
+            ServiceLoad(service.value, free, state.queue(service).size)
+        }
+
+    private fun taken(state: RoutingState, chosen: Candidate): Transition<RoutingState, SlotGrant> {
+        val announcement = chosen.endpoint.announcement
+        val grant = SlotGrant(
+            announcement.endpoint,
+            announcement.service,
+            announcement.address,
+            announcement.epochMillis,
+        )
+        return Transition(state.copy(loads = state.loads.put(grant.endpoint, chosen.load.begun())), grant)
+    }
+
+    /** Mean time until one of all slots becomes free; 0 as long as no answer was measured. */
+    private fun slotMillis(candidates: List<Candidate>): Double {
+        val measured = candidates.filter { it.load.latencyMillis > 0.0 }
+        val slots = candidates.sumOf { it.limit }
+        return if (measured.isEmpty() || slots == 0) 0.0 else measured.map { it.load.latencyMillis }.average() / slots
+    }
+}
--- a/core/src/main/kotlin/org/auburnlever/wire/HttpNames.kt
+++ b/core/src/main/kotlin/org/auburnlever/wire/HttpNames.kt
@@ -8,6 +8,12 @@
     /** `true` (default) or `false`. */
     const val REPEATABLE = "auburn-repeatable"
 
+    /**
+     * `true` when the caller has never sent this key before. Only then can a host that does not reach the key's ledger
+     * answer `refused`; otherwise an earlier attempt may have run, and it answers `unknown`. Default `false`.
+     */
+    const val FIRST_ATTEMPT = "auburn-first-attempt"
+
     /** `true` or `false` (default). */
     const val URGENT = "auburn-urgent"
 
--- /dev/null
+++ b/node/src/main/kotlin/org/auburnlever/entry/BodyError.kt
@@ -0,0 +1,37 @@
+package org.auburnlever.entry
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import com.linecorp.armeria.common.ContentTooLargeException
+import com.linecorp.armeria.common.HttpRequest
+import kotlinx.coroutines.future.await
+import org.auburnlever.codec.Bytes
+import java.util.concurrent.CompletionException
+
+/** Why a body could not be read. */
+internal enum class BodyError {
+    /** It is longer than the limit. */
+    TOO_LARGE,
+
+    /** The caller closed the connection or was too slow. */
+    INCOMPLETE,
+    ;
+
+    /** A sentence for the caller, with the limit in bytes. */
+    fun message(limit: Int): String =
+        if (this == TOO_LARGE) "the body is longer than $limit bytes" else "the body is incomplete"
+}
+
+/** Reads the whole body; Armeria enforces the limit that the service set on the request's context. */
+internal suspend fun HttpRequest.readBody(): Result<Bytes, BodyError> =
+    aggregate().handle { request, failure ->
+        when {
+            failure == null -> Ok(Bytes(request.content().array()))
+            failure.unwrapped() is ContentTooLargeException -> Err(BodyError.TOO_LARGE)
+            else -> Err(BodyError.INCOMPLETE)
+        }
+    }.await()
+
+/** The cause that a future hides in a [CompletionException]. */
+internal fun Throwable.unwrapped(): Throwable = if (this is CompletionException) cause ?: this else this
--- /dev/null
+++ b/node/src/main/kotlin/org/auburnlever/entry/ClaimedRequests.kt
@@ -0,0 +1,151 @@
+package org.auburnlever.entry
+
+import com.github.michaelbull.result.fold
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.delay
+import org.auburnlever.host.LedgerClient
+import org.auburnlever.host.SubmitError
+import org.auburnlever.ledger.ClaimPurpose
+import org.auburnlever.ledger.LedgerCommand
+import org.auburnlever.ledger.LedgerReply
+import org.auburnlever.ledger.RequestKey
+import org.auburnlever.peer.ServiceRequest
+import org.auburnlever.wire.ErrorCode
+import org.auburnlever.wire.Outcome
+import org.auburnlever.world.DomainName
+import org.auburnlever.world.HostName
+
+/** A request with a key, on its way through the ledger of [owner]; [claimId] is unique to this arrival. */
+internal data class KeyedRequest(
+    val request: ServiceRequest,
+    val key: RequestKey,
+    val owner: DomainName,
+    val claimId: String,
+    val firstAttempt: Boolean,
+    val deadlineMillis: Long,
+)
+
+/**
+ * Runs requests that are not repeatable: claims the key, runs the request if the claim is granted, and records the
+ * outcome. [clock] returns monotonic milliseconds.
+ */
+internal class ClaimedRequests(
+    private val ledger: LedgerClient,
+    private val host: HostName,
+    scope: CoroutineScope,
+    private val metrics: RoutingMetrics,
+    private val clock: () -> Long,
+) {
+    private val recorder = OutcomeRecorder(ledger, scope, metrics, clock)
+
+    /** Outcomes that are still being recorded. */
+    val unrecorded: Int get() = recorder.unrecorded
+
+    /** Runs [keyed] with [dispatch] unless its key was claimed before; then the outcome is the first one. */
+    suspend fun run(
+        keyed: KeyedRequest,
+        maxStoredAnswerBytes: Int,
+        dispatch: suspend (ServiceRequest) -> Outcome,
+    ): Outcome =
+        when (val claim = claim(keyed)) {
+            is ClaimAnswer.Ended -> claim.outcome
+            is ClaimAnswer.Granted -> {
+                val outcome = runClaimed(keyed, dispatch)
+                recorder.record(keyed, outcome.forLedger(maxStoredAnswerBytes))
+                outcome
+            }
+        }
+
+    private suspend fun runClaimed(keyed: KeyedRequest, dispatch: suspend (ServiceRequest) -> Outcome): Outcome {
+        val remaining = keyed.deadlineMillis - clock()
+        return if (remaining > 0) {
+            dispatch(keyed.request.copy(timeoutMillis = remaining))
+        } else {
+            Outcome.Refused(ErrorCode.DEADLINE_EXCEEDED, "the claim was granted after the deadline")
+        }
+    }
+
+    private suspend fun claim(keyed: KeyedRequest): ClaimAnswer {
+        var pauseMillis = FIRST_PAUSE_MILLIS
+        var answer = submitClaim(keyed, seenInProgress = false)
+        while (answer == null && keyed.deadlineMillis - clock() > pauseMillis) {
+            delay(pauseMillis)
+            pauseMillis = (pauseMillis * 2).coerceAtMost(LONGEST_PAUSE_MILLIS)
+            answer = submitClaim(keyed, seenInProgress = true)
+        }
+        return answer ?: unknown(ErrorCode.IN_PROGRESS, "an earlier request with this key is still in progress")
+    }
+
+    /** Null while an earlier request with the same key is in progress. */
+    private suspend fun submitClaim(keyed: KeyedRequest, seenInProgress: Boolean): ClaimAnswer? {
+        val remaining = (keyed.deadlineMillis - clock()).coerceAtLeast(1)
+        val purpose = ClaimPurpose.Request(keyed.request.service)
+        val digest = sha256Hex(keyed.request.body.toByteArray())
+        val command = LedgerCommand.Claim(keyed.key, digest, purpose, keyed.claimId, host, remaining)
+        val mayBeResend = seenInProgress || !keyed.firstAttempt
+        return ledger.submit(keyed.owner, command, remaining).fold(
+            success = { claimAnswer(it, purpose) },
+            failure = { claimError(it, mayBeResend) },
+        )
+    }
+
+    private fun claimAnswer(reply: LedgerReply, purpose: ClaimPurpose): ClaimAnswer? {
+        metrics.claim(reply.label)
+        return when (reply) {
+            is LedgerReply.ClaimGranted -> ClaimAnswer.Granted
+            is LedgerReply.ClaimExists -> existing(reply, purpose)
+            is LedgerReply.Rejected -> ClaimAnswer.Ended(reply.refusal)
+            else -> unknown(ErrorCode.INTERNAL, "unexpected answer to a claim")
+        }
+    }
+
+    private fun existing(reply: LedgerReply.ClaimExists, purpose: ClaimPurpose): ClaimAnswer? =
+        if (reply.purpose == purpose) {
+            reply.outcome?.let { ClaimAnswer.Ended(it) }
+        } else {
+            ClaimAnswer.Ended(Outcome.Refused(ErrorCode.KEY_REUSED, "the key was used for another service or a job"))
+        }
+
+    /** An earlier attempt that ran may hide behind a claim that could not be submitted. */
+    private fun claimError(error: SubmitError, mayBeResend: Boolean): ClaimAnswer {
+        metrics.claim(if (error is SubmitError.NotSubmitted) "not_submitted" else "undecided")
+        return when {
+            error is SubmitError.Undecided || mayBeResend -> unknown(ErrorCode.DOMAIN_UNREACHABLE, error.message)
+            else -> ClaimAnswer.Ended(Outcome.Refused(ErrorCode.DOMAIN_UNREACHABLE, error.message))
+        }
+    }
+
+    private fun unknown(code: ErrorCode, message: String) = ClaimAnswer.Ended(Outcome.Unknown(code, message))
+
+    private companion object {
+        const val FIRST_PAUSE_MILLIS = 50L
+
+        /** Each poll is a log entry of the ledger, so a waiting resend costs at most one a second. */
+        const val LONGEST_PAUSE_MILLIS = 1_000L
+    }
+}
+
+/** Answer of the ledger to a claim. */
+internal sealed interface ClaimAnswer {
+    /** This host holds the claim and runs the request. */
+    data object Granted : ClaimAnswer
+
+    /** The request is not run here; [outcome] goes to the caller. */
+    data class Ended(val outcome: Outcome) : ClaimAnswer
+}
+
+/** Drops an answer that is too large for the ledger and keeps its length and digest. */
+internal fun Outcome.forLedger(maxStoredAnswerBytes: Int): Outcome =
+    if (this is Outcome.Completed && answer.lengthBytes > maxStoredAnswerBytes) {
+        Outcome.Completed(answer.copy(body = null))
+    } else {
+        this
+    }
+
+private val LedgerReply.label: String
+    get() = when (this) {
+        is LedgerReply.ClaimGranted -> "granted"
+        is LedgerReply.ClaimExists -> if (outcome == null) "in_progress" else "exists"
+        is LedgerReply.Rejected -> "rejected"
+        else -> "unexpected"
+    }
--- /dev/null
+++ b/node/src/main/kotlin/org/auburnlever/entry/RequestHead.kt
@@ -0,0 +1,59 @@
+package org.auburnlever.entry
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.flatMap
+import com.linecorp.armeria.common.HttpHeaderNames
+import com.linecorp.armeria.common.RequestHeaders
+import org.auburnlever.wire.Headers
+
+/** What a caller says about a request in its headers. */
+internal data class RequestHead(
+    val key: String?,
+    val repeatable: Boolean,
+    val urgent: Boolean,
+    val firstAttempt: Boolean,
+    val timeoutMillis: Long,
+    val contentType: String,
+)
+
+/** Reads the headers of a service request; the error is a sentence for the caller. */
+internal fun RequestHeaders.toRequestHead(): Result<RequestHead, String> =
+    flag(Headers.REPEATABLE, default = true).flatMap { repeatable ->
+        flag(Headers.URGENT, default = false).flatMap { urgent ->
+            flag(Headers.FIRST_ATTEMPT, default = false).flatMap { firstAttempt ->
+                timeout().flatMap { timeoutMillis ->
+                    val key = get(Headers.IDEMPOTENCY_KEY)
+                    val type = get(HttpHeaderNames.CONTENT_TYPE) ?: DEFAULT_CONTENT_TYPE
+                    RequestHead(key, repeatable, urgent, firstAttempt, timeoutMillis, type).withKeyIfNeeded()
+                }
+            }
+        }
+    }
+
+private fun RequestHead.withKeyIfNeeded(): Result<RequestHead, String> =
+    if (!repeatable && key == null) {
+        Err("a request that is not repeatable needs the header ${Headers.IDEMPOTENCY_KEY}")
+    } else {
+        Ok(this)
+    }
+
+private fun RequestHeaders.flag(name: String, default: Boolean): Result<Boolean, String> =
+    when (val value = get(name)) {
+        null -> Ok(default)
+        "true" -> Ok(true)
+        "false" -> Ok(false)
+        else -> Err("header $name is '$value', not true or false")
+    }
+
+private fun RequestHeaders.timeout(): Result<Long, String> {
+    val value = get(Headers.TIMEOUT_MILLIS) ?: return Ok(DEFAULT_TIMEOUT_MILLIS)
+    val allowed = 1..MAX_TIMEOUT_MILLIS
+    return value.toLongOrNull()?.takeIf { it in allowed }?.let { Ok(it) }
+        ?: Err("header ${Headers.TIMEOUT_MILLIS} is '$value', not a number from 1 to $MAX_TIMEOUT_MILLIS")
+}
+
+private const val DEFAULT_TIMEOUT_MILLIS = 30_000L
+private const val MAX_TIMEOUT_MILLIS = 600_000L
+private const val DEFAULT_CONTENT_TYPE = "application/octet-stream"
--- /dev/null
+++ b/node/src/main/kotlin/org/auburnlever/entry/RoutingMetrics.kt
@@ -0,0 +1,63 @@
+package org.auburnlever.entry
+
+import io.micrometer.core.instrument.MeterRegistry
+import org.auburnlever.wire.Outcome
+import org.auburnlever.world.ServiceName
+import java.util.concurrent.TimeUnit
+
+/** Counters and timers of request routing. */
+class RoutingMetrics(private val registry: MeterRegistry) {
+    /** Counts a request that ended after [elapsedMillis]. */
+    fun requestEnded(service: ServiceName, outcome: Outcome, elapsedMillis: Long) {
+        registry.timer("auburn.requests", "service", service.value, "outcome", outcome.name)
+            .record(elapsedMillis, TimeUnit.MILLISECONDS)
+    }
+
+    /** Counts an attempt at an endpoint. */
+    fun attemptEnded(service: ServiceName, result: AttemptResult) {
+        registry.counter("auburn.attempts", "service", service.value, "result", result.label).increment()
+    }
+
+    /** Counts a retry, or one that the budget did not allow. */
+    fun retry(allowed: Boolean) = registry.counter("auburn.retries", "allowed", allowed.toString()).increment()
+
+    /** Counts a request that the queue refused. */
+    fun queueRefused(service: ServiceName, answer: SlotAnswer) {
+        val reason = if (answer is SlotAnswer.Full) "full" else "deadline"
+        registry.counter("auburn.queue.refused", "service", service.value, "reason", reason).increment()
+    }
+
+    /** Counts a request sent to another failure domain, with the bytes that crossed between regions. */
+    fun forwarded(result: String, crossRegionBytes: Long) {
+        registry.counter("auburn.forwarded", "result", result).increment()
+        registry.counter("auburn.cross.region.bytes").increment(crossRegionBytes.toDouble())
+    }
+
+    /** Counts the answer to a claim. */
+    fun claim(answer: String) = registry.counter("auburn.claims", "answer", answer).increment()
+
+    /** Counts an attempt to record an outcome. */
+    fun recorded(result: String) = registry.counter("auburn.claims.recorded", "result", result).increment()
+
+    /** Counts an announcement. */
+    fun announcement(accepted: Boolean) =
+        registry.counter("auburn.announcements", "accepted", accepted.toString()).increment()
+}
+
+/** Name of the outcome as the HTTP interface spells it. */
+internal val Outcome.name: String
+    get() = when (this) {
+        is Outcome.Completed -> "completed"
+        is Outcome.Refused -> "refused"
+        is Outcome.Failed -> "failed"
+        is Outcome.Unknown -> "unknown"
+    }
+
+private val AttemptResult.label: String
+    get() = when (this) {
+        is AttemptResult.Answered -> "answered"
+        is AttemptResult.Error -> "error"
+        is AttemptResult.NotBegun -> "not_begun"
+        is AttemptResult.Broken -> reason.name.lowercase()
+        is AttemptResult.Silent -> "silent"
+    }
--- /dev/null
+++ b/node/src/main/kotlin/org/auburnlever/entry/ServiceRequestService.kt
@@ -0,0 +1,169 @@
+package org.auburnlever.entry
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.fold
+import com.linecorp.armeria.common.HttpRequest
+import com.linecorp.armeria.common.HttpResponse
+import com.linecorp.armeria.server.HttpService
+import com.linecorp.armeria.server.ServiceRequestContext
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.future.future
+import kotlinx.serialization.json.JsonElement
+import kotlinx.serialization.json.buildJsonObject
+import kotlinx.serialization.json.put
+import org.auburnlever.codec.Bytes
+import org.auburnlever.configuration.Bundle
+import org.auburnlever.configuration.ClientAccount
+import org.auburnlever.host.LedgerClient
+import org.auburnlever.ledger.RequestKey
+import org.auburnlever.observe.Dumpable
+import org.auburnlever.peer.ServiceRequest
+import org.auburnlever.routing.KeyOwner
+import org.auburnlever.wire.ErrorCode
+import org.auburnlever.wire.Outcome
+import org.auburnlever.world.HostName
+import org.auburnlever.world.ServiceName
+import java.util.UUID
+
+/** What the entry services share: the bundle in force, this host's name, the scope of requests and the clock. */
+class EntryContext(
+    val host: HostName,
+    val scope: CoroutineScope,
+    val inForce: () -> Bundle?,
+    val clock: () -> Long,
+)
+
+/**
+ * `POST /v1/services/{service}/requests`: runs a request of a client account and answers with its outcome.
+ *
+ * Requests keep running when their caller disconnects, because their outcome is recorded for a resend.
+ */
+class ServiceRequestService(
+    private val context: EntryContext,
+    private val dispatcher: Dispatcher,
+    ledger: LedgerClient,
+    metrics: RoutingMetrics,
+) : HttpService, Dumpable {
+    private val authenticator = Authenticator(context.inForce)
+    private val claims = ClaimedRequests(ledger, context.host, context.scope, metrics, context.clock)
+    private val requests = RequestsInProgress()
+
+    override fun serve(ctx: ServiceRequestContext, req: HttpRequest): HttpResponse =
+        HttpResponse.of(context.scope.future { requests.track { answer(ctx, req) } })
+
+    /** Refuses new requests from now on; requests in progress go on. */
+    fun beginDrain() {
+        requests.close()
+        dispatcher.close()
+    }
+
+    /**
+     * Refuses new requests and waits until those in progress have ended and their outcomes are recorded, at most
+     * [limitMillis]. Returns how many had not ended by then.
+     */
+    suspend fun drain(limitMillis: Long): Int {
+        beginDrain()
+        val untilMillis = context.clock() + limitMillis
+        while (inProgress > 0 && context.clock() < untilMillis) delay(DRAIN_CHECK_MILLIS)
+        return inProgress
+    }
+
+    override fun dump(): JsonElement = buildJsonObject {
+        put("inProgress", requests.count)
+        put("unrecorded", claims.unrecorded)
+        put("shuttingDown", requests.isClosed)
+    }
+
+    private val inProgress: Int get() = requests.count + dispatcher.inProgress + claims.unrecorded
+
+    private suspend fun answer(ctx: ServiceRequestContext, req: HttpRequest): HttpResponse {
+        val whileOpen = !requests.isClosed
+        val bundle = context.inForce()
+        val account = authenticator.account(req.headers())
+        return when {
+            bundle == null -> refusal(ErrorCode.NO_CONFIGURATION, "no bundle is in force yet")
+            account == null -> refusal(ErrorCode.UNAUTHORIZED, "no client account has this token")
+            else -> req.headers().toRequestHead().fold(
+                success = { run(Arrival(bundle, account, it, context.clock(), whileOpen), ctx, req).toHttpResponse() },
+                failure = { refusal(ErrorCode.BAD_REQUEST, it) },
+            )
+        }
+    }
+
+    private suspend fun run(arrival: Arrival, ctx: ServiceRequestContext, req: HttpRequest): Outcome {
+        val limit = arrival.bundle.limits.maxRequestBytes
+        ctx.setRequestTimeoutMillis(arrival.head.timeoutMillis + ANSWER_GRACE_MILLIS)
+        ctx.setMaxRequestLength(limit.toLong())
+        val body = if (req.headers().contentLength() > limit) Err(BodyError.TOO_LARGE) else req.readBody()
+        return body.fold(
+            success = { run(arrival, arrival.toServiceRequest(ServiceName(ctx.pathParam("service").orEmpty()), it)) },
+            failure = { arrival.notRunNow(it) },
+        )
+    }
+
+    private suspend fun run(arrival: Arrival, request: ServiceRequest): Outcome {
+        val key = request.key
+        return when {
+            !request.repeatable && key != null -> runKeyed(arrival, request, key)
+            arrival.whileOpen -> dispatcher.dispatch(request.remaining(arrival))
+            else -> SHUTTING_DOWN
+        }
+    }
+
+    /**
+     * While the host shuts down, a key is still claimed, because the claim tells whether the request is the resend of
+     * one that ran. A granted claim then ends as refused, and the resend through another host can claim again.
+     */
+    private suspend fun runKeyed(arrival: Arrival, request: ServiceRequest, key: RequestKey): Outcome =
+        KeyOwner(arrival.bundle.claimDomains).owner(key).fold(
+            success = { owner ->
+                val deadlineMillis = arrival.startMillis + arrival.head.timeoutMillis
+                val claimId = "${context.host}-${UUID.randomUUID()}"
+                val keyed = KeyedRequest(request, key, owner, claimId, arrival.head.firstAttempt, deadlineMillis)
+                claims.run(keyed, arrival.bundle.limits.maxStoredAnswerBytes) {
+                    if (arrival.whileOpen) dispatcher.dispatch(it) else SHUTTING_DOWN
+                }
+            },
+            failure = { Outcome.Refused(ErrorCode.BAD_REQUEST, it.message) },
+        )
+
+    private fun ServiceRequest.remaining(arrival: Arrival): ServiceRequest =
+        copy(timeoutMillis = (timeoutMillis - (context.clock() - arrival.startMillis)).coerceAtLeast(1))
+
+    private companion object {
+        /** Time after the caller's timeout in which an answer is still sent, before Armeria ends the exchange. */
+        const val ANSWER_GRACE_MILLIS = 2_000L
+        const val DRAIN_CHECK_MILLIS = 20L
+        val SHUTTING_DOWN = Outcome.Refused(ErrorCode.SHUTTING_DOWN, "the entry host is shutting down")
+    }
+}
+
+/** A request with the state of the host at the time of its arrival. */
+private class Arrival(
+    val bundle: Bundle,
+    val account: ClientAccount,
+    val head: RequestHead,
+    val startMillis: Long,
+    val whileOpen: Boolean,
+) {
+    fun toServiceRequest(service: ServiceName, body: Bytes) = ServiceRequest(
+        requestId = UUID.randomUUID().toString(),
+        account = account.name,
+        service = service,
+        key = head.key?.let { RequestKey(account.name, it) },
+        repeatable = head.repeatable,
+        urgent = head.urgent,
+        timeoutMillis = head.timeoutMillis,
+        contentType = head.contentType,
+        body = body,
+    )
+
+    /** This arrival was not run, but an earlier one with the same key may have been. */
+    fun notRunNow(error: BodyError): Outcome {
+        val code = if (error == BodyError.TOO_LARGE) ErrorCode.TOO_LARGE else ErrorCode.BAD_REQUEST
+        val message = error.message(bundle.limits.maxRequestBytes)
+        val certain = head.repeatable || head.firstAttempt
+        return if (certain) Outcome.Refused(code, message) else Outcome.Unknown(code, message)
+    }
+}
