Test dispatch through other domains and claims under crashes

Cause: forwarding, retries, waiting and the order of claim, run and record had no test.

Change: DispatcherTest covers retries by kind of failure, forwarding, bursts, deadlines and cancellation. ClaimedRequestsTest plays 400 seeded trials in which entry hosts die between the steps and ledger messages are lost.

Ruled out: a scope on the default dispatcher in the trials; the seeds would not decide the interleaving.

--- /dev/null
+++ b/node/src/test/kotlin/org/auburnlever/entry/ClaimedRequestsTest.kt
@@ -0,0 +1,108 @@
+package org.auburnlever.entry
+
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry
+import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.async
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.currentCoroutineContext
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.runBlocking
+import kotlinx.coroutines.yield
+import org.auburnlever.codec.Bytes
+import org.auburnlever.ledger.LedgerCommand
+import org.auburnlever.ledger.RequestKey
+import org.auburnlever.peer.ServiceRequest
+import org.auburnlever.wire.Answer
+import org.auburnlever.wire.ErrorCode
+import org.auburnlever.wire.Outcome
+import org.auburnlever.world.HostName
+import kotlin.random.Random
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+
+class ClaimedRequestsTest {
+    /** Where an entry host dies while it handles a request. */
+    private enum class Crash { NEVER, AFTER_CLAIM, BEFORE_RUN, AFTER_RUN }
+
+    /** One key, resent through several entry hosts of which any may die at any step. */
+    private class Trial(seed: Int) {
+        private val random = Random(seed)
+        private val key = RequestKey(ACCOUNT, "1764820800-a")
+        private val ledger = FakeLedger(::fault)
+        private var nowMillis = 0L
+        private var arrivals = 0
+        var runs = 0
+        val answers = mutableListOf<Outcome>()
+        val refusedAfterRun = mutableListOf<Outcome>()
+
+        fun play() = runBlocking {
+            repeat(4) {
+                val resends = List(1 + random.nextInt(2)) { async { arrive() } }
+                resends.forEach { it.join() }
+            }
+        }
+
+        private suspend fun arrive() {
+            val host = CoroutineScope(currentCoroutineContext() + Job())
+            val request = ServiceRequest(
+                "id", ACCOUNT, TAGGING, key, repeatable = false, urgent = false, 40, "text/plain", Bytes.of("whale"),
+            )
+            val claimId = "claim-${arrivals++}"
+            val keyed = KeyedRequest(request, key, HOME, claimId, firstAttempt = arrivals == 1, nowMillis + 40)
+            val claims = ClaimedRequests(ledger, HostName("h"), host, METRICS) { nowMillis++ }
+            val runsBefore = runs
+            val arrival = host.launch { answered(claims.run(keyed, 100, ::dispatch), runsBefore) }
+            arrival.join()
+            host.cancel()
+        }
+
+        private fun answered(outcome: Outcome, runsBefore: Int) {
+            answers += outcome
+            if (outcome is Outcome.Refused && runsBefore > 0) refusedAfterRun += outcome
+        }
+
+        private suspend fun dispatch(request: ServiceRequest): Outcome {
+            val crash = if (random.nextInt(3) == 0) Crash.entries.random(random) else Crash.NEVER
+            yield()
+            dieAt(crash, Crash.AFTER_CLAIM)
+            if (random.nextInt(4) == 0) return Outcome.Refused(ErrorCode.OVERLOADED, "full")
+            dieAt(crash, Crash.BEFORE_RUN)
+            runs++
+            yield()
+            dieAt(crash, Crash.AFTER_RUN)
+            return Outcome.Completed(Answer("text/plain", request.body.size, "run $runs", request.body))
+        }
+
+        private fun dieAt(crash: Crash, step: Crash) {
+            if (crash == step) throw CancellationException("the host dies: $step")
+        }
+
+        private fun fault(command: LedgerCommand): LedgerFault {
+            val dies = command is LedgerCommand.RecordOutcome && random.nextInt(6) == 0
+            if (dies) throw CancellationException("the host dies before it records")
+            return if (random.nextInt(4) == 0) LedgerFault.entries.random(random) else LedgerFault.NONE
+        }
+    }
+
+    /** Guards against a second run of a key, however its entry hosts die and its messages are lost. */
+    @Test
+    fun `a key runs at most once and is never refused after it ran`() {
+        var ran = 0
+        repeat(400) { seed ->
+            val trial = Trial(seed).also { it.play() }
+            assertTrue(trial.runs <= 1, "seed $seed: ${trial.runs} runs")
+            assertEquals(emptyList(), trial.refusedAfterRun, "seed $seed")
+            val digests = trial.answers.filterIsInstance<Outcome.Completed>().map { it.answer.sha256Hex }
+            assertTrue(digests.toSet().size <= 1, "seed $seed: $digests")
+            ran += trial.runs
+        }
+        assertTrue(ran > 200, "only $ran of 400 keys ran, so the test would see no second run")
+    }
+
+    private companion object {
+        val METRICS = RoutingMetrics(SimpleMeterRegistry())
+    }
+}
--- /dev/null
+++ b/node/src/test/kotlin/org/auburnlever/entry/DispatcherTest.kt
@@ -0,0 +1,177 @@
+package org.auburnlever.entry
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.async
+import kotlinx.coroutines.awaitAll
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.runBlocking
+import kotlinx.coroutines.withTimeout
+import org.auburnlever.codec.Bytes
+import org.auburnlever.peer.AgedAnnouncement
+import org.auburnlever.peer.PeerReply
+import org.auburnlever.peer.PeerRequest
+import org.auburnlever.peer.ServiceLoad
+import org.auburnlever.peer.ServiceRequest
+import org.auburnlever.transport.CallError
+import org.auburnlever.wire.Answer
+import org.auburnlever.wire.ErrorCode
+import org.auburnlever.wire.Outcome
+import org.auburnlever.world.DomainName
+import org.auburnlever.world.HostName
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertIs
+
+class DispatcherTest {
+    private val answer = Answer("text/plain", 2, "digest", Bytes.of("ok"))
+    private val others = listOf(
+        peer("near", "luzon", DomainName("luzon-manila")),
+        peer("far", "visayas", DomainName("visayas-cebu")),
+    )
+
+    private fun request(repeatable: Boolean = true, timeoutMillis: Long = 2_000, id: String = "r") = ServiceRequest(
+        id, ACCOUNT, TAGGING, null, repeatable, urgent = false, timeoutMillis, "text/plain", Bytes.of("whale"),
+    )
+
+    /** A host whose endpoints answer the n-th attempt with [results] and whose peers answer with [reply]. */
+    private fun withHost(
+        endpoints: Int = 2,
+        results: List<AttemptResult> = emptyList(),
+        peers: ScriptedPeers = ScriptedPeers(),
+        loads: Map<String, Int> = emptyMap(),
+        test: suspend (TestDeployment, MutableList<EndpointAttempt>) -> Unit,
+    ) {
+        val attempts = mutableListOf<EndpointAttempt>()
+        val client = EndpointClient { _, attempt ->
+            attempts += attempt
+            results.getOrElse(attempts.size - 1) { AttemptResult.Answered(answer) }
+        }
+        TestDeployment(FakeLedger(), peers, others, client).use { host ->
+            host.routing.heard(List(endpoints) { AgedAnnouncement(announcement(9_000 + it, "minion-$it"), 0) })
+            loads.forEach { (name, free) ->
+                host.forwarder.heard(HostName(name), listOf(ServiceLoad(TAGGING.value, free, 0)))
+            }
+            runBlocking { test(host, attempts) }
+        }
+    }
+
+    private fun peersWith(reply: Result<PeerReply, CallError>) = ScriptedPeers { _, _ -> reply }
+
+    /** Guards against a second run of a request that is not repeatable after it may have begun. */
+    @Test
+    fun `only certain failures to begin are retried for a request that is not repeatable`() {
+        val broken = AttemptResult.Broken(BrokenReason.CONNECTION, "reset")
+        val ends = listOf(broken, AttemptResult.Silent("late"), AttemptResult.Error(500, "failed"))
+        val names = ends.map { end ->
+            var name = ""
+            withHost(results = listOf(end)) { host, attempts ->
+                name = host.dispatcher.dispatch(request(repeatable = false)).name
+                assertEquals(1, attempts.size)
+            }
+            name
+        }
+        assertEquals(listOf("unknown", "unknown", "failed"), names)
+        withHost(results = listOf(AttemptResult.NotBegun("refused"))) { host, attempts ->
+            assertIs<Outcome.Completed>(host.dispatcher.dispatch(request(repeatable = false)))
+            assertEquals(listOf("r-1", "r-2"), attempts.map { it.attemptId })
+        }
+    }
+
+    /** Guards against a refusal when an earlier attempt may have run. */
+    @Test
+    fun `a retry that was not begun does not hide an attempt that may have run`() {
+        val broken = AttemptResult.Broken(BrokenReason.CROSSED, "other id")
+        withHost(results = listOf(broken, AttemptResult.NotBegun("refused"))) { host, _ ->
+            assertIs<Outcome.Unknown>(host.dispatcher.dispatch(request()))
+        }
+    }
+
+    @Test
+    fun `a request without endpoints here goes to another domain and its bytes are counted`() {
+        val peers = peersWith(Ok(PeerReply.Dispatched(Outcome.Completed(answer))))
+        withHost(endpoints = 0, peers = peers, loads = mapOf("far" to 3)) { host, _ ->
+            assertIs<Outcome.Completed>(host.dispatcher.dispatch(request()))
+            assertEquals(HostName("far"), peers.calls.single().first)
+            assertEquals(7.0, host.meters.counter("auburn.cross.region.bytes").count())
+        }
+        withHost(endpoints = 0) { host, _ ->
+            assertEquals(ErrorCode.NO_ENDPOINT, assertIs<Outcome.Refused>(host.dispatcher.dispatch(request())).code)
+        }
+    }
+
+    /** Guards against requests that travel in circles between domains. */
+    @Test
+    fun `a request of another host is not forwarded again and refused while draining`() {
+        val peers = ScriptedPeers()
+        withHost(endpoints = 0, peers = peers, loads = mapOf("near" to 3)) { host, _ ->
+            val reply = assertIs<PeerReply.Dispatched>(host.dispatcher.answer(PeerRequest.Dispatch(request())))
+            assertEquals(ErrorCode.NO_ENDPOINT, assertIs<Outcome.Refused>(reply.outcome).code)
+            assertEquals(0, peers.calls.size)
+            host.dispatcher.close()
+            val late = assertIs<PeerReply.Dispatched>(host.dispatcher.answer(PeerRequest.Dispatch(request())))
+            assertEquals(ErrorCode.SHUTTING_DOWN, assertIs<Outcome.Refused>(late.outcome).code)
+        }
+    }
+
+    @Test
+    fun `a forwarded request without a reply is unknown and one that was not sent is refused`() {
+        fun outcomeAfter(error: CallError, repeatable: Boolean): Pair<String, Int> {
+            val peers = peersWith(Err(error))
+            var name = ""
+            withHost(endpoints = 0, peers = peers, loads = mapOf("near" to 3, "far" to 3)) { host, _ ->
+                name = host.dispatcher.dispatch(request(repeatable)).name
+            }
+            return name to peers.calls.size
+        }
+        assertEquals("unknown" to 1, outcomeAfter(CallError.NoReply("silent"), repeatable = false))
+        assertEquals("unknown" to 2, outcomeAfter(CallError.NoReply("silent"), repeatable = true))
+        assertEquals("refused" to 2, outcomeAfter(CallError.NotSent("no link"), repeatable = false))
+    }
+
+    /** Guards against lost wake-ups, grants that nobody takes, and slots that are never given back. */
+    @Test
+    fun `every request of a burst is answered and all slots are free afterwards`() {
+        val client = EndpointClient { _, attempt ->
+            delay(attempt.attemptId.hashCode().mod(7).toLong())
+            AttemptResult.Answered(answer)
+        }
+        TestDeployment(FakeLedger(), endpoints = client).use { host ->
+            host.routing.heard(listOf(AgedAnnouncement(announcement(9_000), 0)))
+            runBlocking {
+                val names = List(300) { async { host.dispatcher.dispatch(request(id = "r-$it")).name } }.awaitAll()
+                assertEquals(setOf("completed", "refused"), names.toSet())
+                val idle = ServiceLoad(TAGGING.value, freeSlots = 8, queued = 0)
+                assertEquals(idle, host.routing.serviceLoads().single())
+            }
+        }
+    }
+
+    /** Guards against a waiting request that is sent after its deadline, or that leaves its place taken. */
+    @Test
+    fun `a request that waits past its deadline is refused and cancelled ones leave the queue`() {
+        val release = CompletableDeferred<Unit>()
+        val client = EndpointClient { _, _ ->
+            release.await()
+            AttemptResult.Answered(answer)
+        }
+        TestDeployment(FakeLedger(), endpoints = client).use { host ->
+            host.routing.heard(listOf(AgedAnnouncement(announcement(9_000), 0)))
+            runBlocking {
+                val running = List(8) { async { host.dispatcher.dispatch(request()) } }
+                withTimeout(5_000) { while (host.routing.serviceLoads().single().freeSlots > 0) delay(1) }
+                val late = host.dispatcher.dispatch(request(timeoutMillis = 30))
+                assertEquals(ErrorCode.DEADLINE_EXCEEDED, assertIs<Outcome.Refused>(late).code)
+                val cancelled = async { host.dispatcher.dispatch(request()) }
+                withTimeout(5_000) { while (host.routing.serviceLoads().single().queued == 0) delay(1) }
+                cancelled.cancel()
+                cancelled.join()
+                assertEquals(0, host.routing.serviceLoads().single().queued)
+                release.complete(Unit)
+                assertEquals(setOf("completed"), running.awaitAll().map { it.name }.toSet())
+            }
+        }
+    }
+}
