Bound the open connections to an endpoint by this host's share

Cause: the test of connection reuse failed in trials under load: Armeria returns a connection to its pool a moment after the answer is complete, so a request that follows at once opens another one (3 instead of 1 seen).

Change: OpenConnections counts open connections for each endpoint, and a request does not begin above the limit of its grant. Four connections of the share are set aside for each request.

Ruled out: continuing on the connection's event loop, alone or after the request log was complete; in 300 repetitions under load both still opened a second connection.

Conclusion: connections are bounded by counting instead of by assumptions on the pool.

--- a/core/src/main/kotlin/org/auburnlever/routing/EntryShares.kt
+++ b/core/src/main/kotlin/org/auburnlever/routing/EntryShares.kt
@@ -20,8 +20,17 @@
     }
 
     /** Requests that this host may have at the endpoint at one time. */
-    fun requestLimit(announcement: EndpointAnnouncement): Int =
-        minOf(share(announcement, announcement.slots), share(announcement, announcement.connections) / POOLS)
+    fun requestLimit(announcement: EndpointAnnouncement): Int {
+        val connections = share(announcement, announcement.connections)
+        return minOf(share(announcement, announcement.slots), connections / CONNECTIONS_PER_REQUEST)
+    }
+
+    /**
+     * Connections that may be open when a request begins. As every running request opens at most one more, their
+     * number never exceeds this host's share.
+     */
+    fun openConnectionLimit(announcement: EndpointAnnouncement): Int =
+        share(announcement, announcement.connections) - requestLimit(announcement)
 
     /** This host's part of [total]. */
     fun share(announcement: EndpointAnnouncement, total: Int): Int {
@@ -32,9 +41,9 @@
 
     private companion object {
         /**
-         * A request that is not repeatable gets a new connection while kept-alive ones may be idle, so the connections
-         * are at most twice the requests.
+         * Connections for each request: kept-alive and single-use ones, and each kind once more, because a connection
+         * returns to the pool or closes a moment after its answer, when the next request may have begun.
          */
-        const val POOLS = 2
+        const val CONNECTIONS_PER_REQUEST = 4
     }
 }
--- a/core/src/main/kotlin/org/auburnlever/routing/RoutingRules.kt
+++ b/core/src/main/kotlin/org/auburnlever/routing/RoutingRules.kt
@@ -100,6 +100,7 @@
             announcement.service,
             announcement.address,
             announcement.epochMillis,
+            shares.openConnectionLimit(announcement),
         )
         return Transition(state.copy(loads = state.loads.put(grant.endpoint, chosen.load.begun())), grant)
     }
--- a/core/src/main/kotlin/org/auburnlever/routing/RoutingState.kt
+++ b/core/src/main/kotlin/org/auburnlever/routing/RoutingState.kt
@@ -8,12 +8,16 @@
 /** A new state and what came of the change. A driver publishes [state] by compare-and-set and then acts on [result]. */
 data class Transition<out S, out R>(val state: S, val result: R)
 
-/** The right to send one request to [endpoint], valid for its start at [epochMillis]. */
+/**
+ * The right to send one request to [endpoint], valid for its start at [epochMillis], while at most
+ * [openConnectionLimit] connections to it are open.
+ */
 data class SlotGrant(
     val endpoint: EndpointName,
     val service: ServiceName,
     val address: String,
     val epochMillis: Long,
+    val openConnectionLimit: Int,
 )
 
 /** A waiting request whose turn has come, and the requests before it whose deadline has passed. */
--- a/node/src/main/kotlin/org/auburnlever/entry/AttemptRunner.kt
+++ b/node/src/main/kotlin/org/auburnlever/entry/AttemptRunner.kt
@@ -71,7 +71,7 @@
         val startMillis = clock()
         var end: AttemptEnd = AttemptEnd.Unsettled(dispatch.deadlineMillis)
         try {
-            val result = endpoints.send(grant.address, dispatch.toAttempt(startMillis))
+            val result = endpoints.send(grant, dispatch.toAttempt(startMillis))
             metrics.attemptEnded(grant.service, result)
             end = result.toAttemptEnd(clock() - startMillis, dispatch.deadlineMillis)
             return result.toStep(dispatch.request.repeatable, grant.endpoint)
--- a/node/src/main/kotlin/org/auburnlever/entry/EndpointClient.kt
+++ b/node/src/main/kotlin/org/auburnlever/entry/EndpointClient.kt
@@ -1,13 +1,14 @@
 package org.auburnlever.entry
 
 import org.auburnlever.codec.Bytes
+import org.auburnlever.routing.SlotGrant
 import org.auburnlever.wire.Answer
 import org.auburnlever.world.AccountName
 
 /** Sends requests to endpoints. */
 fun interface EndpointClient {
-    /** Sends [attempt] to the endpoint at [address] (`IP:port`) and says what certainly became of it. */
-    suspend fun send(address: String, attempt: EndpointAttempt): AttemptResult
+    /** Sends [attempt] to the endpoint of [grant] and says what certainly became of it. */
+    suspend fun send(grant: SlotGrant, attempt: EndpointAttempt): AttemptResult
 }
 
 /** One attempt to run a request; [attemptId] is unique and echoed by the endpoint. */
--- a/node/src/main/kotlin/org/auburnlever/entry/HttpEndpointClient.kt
+++ b/node/src/main/kotlin/org/auburnlever/entry/HttpEndpointClient.kt
@@ -18,6 +18,7 @@
 import io.netty.channel.EventLoopGroup
 import kotlinx.coroutines.future.await
 import org.auburnlever.codec.Bytes
+import org.auburnlever.routing.SlotGrant
 import org.auburnlever.wire.Answer
 import org.auburnlever.wire.Headers
 import org.auburnlever.wire.Paths
@@ -32,12 +33,20 @@
  * which would leave the outcome unknown without need.
  */
 class HttpEndpointClient(workers: EventLoopGroup) : EndpointClient, AutoCloseable {
-    private val keptAlive = clientFactory(workers)
-    private val singleUse = clientFactory(workers)
+    private val connections = OpenConnections()
+    private val keptAlive = clientFactory(workers, connections)
+    private val singleUse = clientFactory(workers, connections)
     private val keptAliveClient = webClient(keptAlive)
     private val singleUseClient = webClient(singleUse)
 
-    override suspend fun send(address: String, attempt: EndpointAttempt): AttemptResult {
+    override suspend fun send(grant: SlotGrant, attempt: EndpointAttempt): AttemptResult =
+        if (connections.to(grant.address) > grant.openConnectionLimit) {
+            AttemptResult.NotBegun("this host's share of connections is in use")
+        } else {
+            exchange(grant.address, attempt)
+        }
+
+    private suspend fun exchange(address: String, attempt: EndpointAttempt): AttemptResult {
         val options = RequestOptions.builder()
             .responseTimeoutMillis(attempt.timeoutMillis.coerceAtLeast(1))
             .writeTimeoutMillis(attempt.timeoutMillis.coerceAtLeast(1))
@@ -57,7 +66,7 @@
     }
 
     private companion object {
-        fun clientFactory(workers: EventLoopGroup): ClientFactory =
+        fun clientFactory(workers: EventLoopGroup, connections: OpenConnections): ClientFactory =
             ClientFactory.builder()
                 .workerGroup(workers, false)
                 .maxNumEventLoopsPerEndpoint(1)
@@ -65,6 +74,7 @@
                 .useHttp1Pipelining(false)
                 .connectTimeoutMillis(CONNECT_TIMEOUT_MILLIS)
                 .idleTimeoutMillis(IDLE_TIMEOUT_MILLIS)
+                .connectionPoolListener(connections)
                 .build()
 
         fun webClient(factory: ClientFactory): WebClient = WebClient.builder().factory(factory).build()
