Count the time on the way in the age of announcements

Cause: an announcement or gossip that is held up on its way looked fresh on arrival, so a host without other news could use a leaving endpoint for longer than 3 s after its last announcement.

Change: TransitTimes estimates the extra time on the way from the sender's monotonic clock. EndpointAnnouncement.uptimeMillis and Gossip.sentMillis are new and optional. RoutingGossip joins what the gossip sender and receiver need: announcements of the own domain, loads, and none while shutting down.

Ruled out: wall clocks (steps would expire endpoints) and a minimum over all time (100 parts per million drift apart by 8.6 s per day).

Conclusion: the bound of 3 s holds for senders that tell their clock; others keep the behaviour of before.

--- a/core/src/main/kotlin/org/auburnlever/peer/PeerMessage.kt
+++ b/core/src/main/kotlin/org/auburnlever/peer/PeerMessage.kt
@@ -37,7 +37,7 @@
     @SerialName("reply")
     data class Reply(val callId: Long, val reply: PeerReply) : PeerMessage
 
-    /** What a host tells all others every 500 ms. */
+    /** What a host tells all others every 500 ms; [sentMillis] is the sending time by its monotonic clock. */
     @Serializable
     @SerialName("gossip")
     data class Gossip(
@@ -50,6 +50,7 @@
         val loads: List<ServiceLoad>,
         val capacity: DomainCapacity?,
         val incarnations: Map<GroupName, Long> = emptyMap(),
+        val sentMillis: Long? = null,
     ) : PeerMessage
 }
 
--- a/core/src/main/kotlin/org/auburnlever/wire/EndpointAnnouncement.kt
+++ b/core/src/main/kotlin/org/auburnlever/wire/EndpointAnnouncement.kt
@@ -9,7 +9,9 @@
  * What an endpoint says about itself each second.
  *
  * [epochMillis] is the time of the endpoint's start by its own clock and [sequence] grows with each announcement; the
- * pair orders announcements of one endpoint. [address] is `IP:port`.
+ * pair orders announcements of one endpoint. [address] is `IP:port`. [uptimeMillis] is the time since the endpoint's
+ * start by its monotonic clock when it sent the announcement; with it, entry hosts notice announcements that were on
+ * their way for long.
  */
 @Serializable
 data class EndpointAnnouncement(
@@ -22,6 +24,7 @@
     val epochMillis: Long,
     val sequence: Long,
     val leaving: Boolean = false,
+    val uptimeMillis: Long? = null,
 )
 
 /** Answer to an [EndpointAnnouncement]: when to announce again at the latest. */
--- a/node/src/main/kotlin/org/auburnlever/entry/Dispatcher.kt
+++ b/node/src/main/kotlin/org/auburnlever/entry/Dispatcher.kt
@@ -45,6 +45,9 @@
     /** Refuses new requests of other hosts from now on. */
     fun close() = requests.close()
 
+    /** Says whether requests of other hosts are refused. */
+    val isClosed: Boolean get() = requests.isClosed
+
     /** Requests of other hosts that have not ended. */
     val peerRequests: Int get() = requests.count
 
@@ -67,7 +70,7 @@
 
     private suspend fun run(dispatch: Dispatch): Outcome {
         val startMillis = clock()
-        routing.requested()
+        routing.retries.requested()
         val outcome = attempts(dispatch)
         metrics.requestEnded(dispatch.service.name, outcome, clock() - startMillis)
         return outcome
@@ -89,7 +92,7 @@
 
     private fun mayRetry(dispatch: Dispatch): Boolean {
         val useful = dispatch.attempt < MAX_ATTEMPTS && clock() < dispatch.deadlineMillis
-        return useful && routing.takeRetry().also { metrics.retry(it) }
+        return useful && routing.retries.take().also { metrics.retry(it) }
     }
 
     private companion object {
--- a/node/src/main/kotlin/org/auburnlever/entry/DomainRouting.kt
+++ b/node/src/main/kotlin/org/auburnlever/entry/DomainRouting.kt
@@ -10,6 +10,7 @@
 import org.auburnlever.routing.SlotGrant
 import org.auburnlever.routing.Ticket
 import org.auburnlever.routing.Transition
+import org.auburnlever.wire.EndpointAnnouncement
 import org.auburnlever.world.EndpointName
 import org.auburnlever.world.ServiceName
 import kotlin.random.Random
@@ -21,9 +22,19 @@
     private val random: Random = Random.Default,
 ) : Dumpable {
     private val state = Published(RoutingState())
+    private val ages = AnnouncementAges(clock)
     private val waiters = SlotWaiters(state, rules, clock, random)
 
-    /** Takes in announcements from endpoints and from other entry hosts of the domain. */
+    /** The retry budget of this host. */
+    internal val retries = Retries(state, clock)
+
+    /** Takes in an announcement that an endpoint has sent to this host. */
+    fun announced(announcement: EndpointAnnouncement) {
+        val ageMillis = ages.age(announcement)
+        heard(listOf(AgedAnnouncement(announcement, ageMillis)))
+    }
+
+    /** Takes in announcements from other entry hosts of the domain. */
     fun heard(announcements: List<AgedAnnouncement>) = state.update { rules.heard(it, announcements, clock()) }
 
     /** Announcements to gossip. */
@@ -54,14 +65,5 @@
         waiters.admit(grant.service)
     }
 
-    /** Counts a first attempt for the retry budget. */
-    fun requested() = state.update { it.copy(retries = it.retries.requested(clock())) }
-
-    /** Takes one retry from the budget; false if none is left. */
-    fun takeRetry(): Boolean = state.change { before ->
-        val left = before.retries.retried(clock())
-        Transition(if (left == null) before else before.copy(retries = left), left != null)
-    }
-
     override fun dump(): JsonElement = dumpRouting(state.current, rules, clock())
 }
--- a/node/src/main/kotlin/org/auburnlever/entry/EndpointAnnouncementService.kt
+++ b/node/src/main/kotlin/org/auburnlever/entry/EndpointAnnouncementService.kt
@@ -12,7 +12,6 @@
 import kotlinx.serialization.SerializationException
 import org.auburnlever.codec.Codec
 import org.auburnlever.configuration.Bundle
-import org.auburnlever.peer.AgedAnnouncement
 import org.auburnlever.wire.AnnouncementReply
 import org.auburnlever.wire.EndpointAnnouncement
 import org.auburnlever.wire.ErrorCode
@@ -49,7 +48,7 @@
         metrics.announcement(accepted = checked.isOk)
         return checked.fold(
             success = {
-                routing.heard(listOf(AgedAnnouncement(it, ageMillis = 0)))
+                routing.announced(it)
                 jsonResponse(AnnouncementReply.serializer(), AnnouncementReply(ANNOUNCE_AGAIN_MILLIS))
             },
             failure = { refusal(ErrorCode.BAD_REQUEST, it) },
@@ -82,6 +81,7 @@
         connections !in slots..MAX_CONNECTIONS -> "connections must be from slots to $MAX_CONNECTIONS"
         epochMillis < 0 -> "epochMillis must not be negative"
         sequence < 0 -> "sequence must not be negative"
+        (uptimeMillis ?: 0) < 0 -> "uptimeMillis must not be negative"
         else -> null
     }
 
--- /dev/null
+++ b/node/src/main/kotlin/org/auburnlever/entry/RoutingGossip.kt
@@ -0,0 +1,57 @@
+package org.auburnlever.entry
+
+import org.auburnlever.peer.AgedAnnouncement
+import org.auburnlever.peer.ServiceLoad
+import org.auburnlever.routing.TransitTimes
+import org.auburnlever.world.DomainName
+import org.auburnlever.world.HostName
+import java.util.concurrent.ConcurrentHashMap
+
+/**
+ * The routing part of the gossip between hosts: announcements within the failure domain, loads between domains.
+ * [clock] returns monotonic milliseconds.
+ */
+class RoutingGossip(
+    private val routing: DomainRouting,
+    private val forwarder: Forwarder,
+    private val dispatcher: Dispatcher,
+    private val failureDomain: DomainName,
+    private val clock: () -> Long,
+) {
+    private val transits = Published(TransitTimes.EMPTY)
+    private val lastSentMillis = ConcurrentHashMap<HostName, Long>()
+
+    /** Announcements to send, with their ages. */
+    fun endpoints(): List<AgedAnnouncement> = routing.announcements()
+
+    /** Loads to send; none while this host shuts down, so that others forward nothing to it. */
+    fun loads(): List<ServiceLoad> = if (dispatcher.isClosed) emptyList() else routing.serviceLoads()
+
+    /**
+     * Takes in the gossip of [host], sent at [sentMillis] by its monotonic clock. The time on the way makes the
+     * announcements older; without it, a delayed message would keep a leaving endpoint in use for too long.
+     */
+    fun heard(host: HostName, sentMillis: Long?, endpoints: List<AgedAnnouncement>, loads: List<ServiceLoad>) {
+        val transitMillis = sentMillis?.let { transit(host, it) } ?: 0
+        val own = endpoints.filter { it.announcement.failureDomain == failureDomain }
+        routing.heard(own.map { it.copy(ageMillis = it.ageMillis + transitMillis) })
+        forwarder.heard(host, loads)
+    }
+
+    private fun transit(host: HostName, sentMillis: Long): Long {
+        val previous = lastSentMillis.put(host, sentMillis) ?: sentMillis
+        val restarted = sentMillis < previous - RESTART_MILLIS
+        return transits.change {
+            val times = if (restarted) it.forget(host.value) else it
+            times.heard(host.value, sentMillis, clock())
+        }
+    }
+
+    private companion object {
+        /**
+         * A monotonic clock that goes back by more has begun anew. Gossip cannot be that late, since links without
+         * bytes are closed after 2 s.
+         */
+        const val RESTART_MILLIS = 10_000L
+    }
+}
