Bound the memory of request bodies and answer internal faults as unknown

Cause: bodies of up to 1 MB were read without a bound on their sum, in a heap of 40 MB; and an exception in this process gave the caller a plain 500 without an outcome.

Change: BodyMemory reserves the length of each body before it is read; a request beyond 5 MB in total is refused as overloaded. A failed future of the service answers unknown with code internal. The digest of a keyed body is computed once and not for each poll of the claim.

Ruled out: a bound on the number of requests, which would also refuse small ones.

Conclusion: answers of endpoints (up to 1 MB each) are bounded only by the slots.

--- a/node/src/main/kotlin/org/auburnlever/entry/BodyError.kt
+++ b/node/src/main/kotlin/org/auburnlever/entry/BodyError.kt
@@ -7,20 +7,19 @@
 import com.linecorp.armeria.common.HttpRequest
 import kotlinx.coroutines.future.await
 import org.auburnlever.codec.Bytes
+import org.auburnlever.wire.ErrorCode
 import java.util.concurrent.CompletionException
 
 /** Why a body could not be read. */
-internal enum class BodyError {
+internal enum class BodyError(val code: ErrorCode, val message: String) {
     /** It is longer than the limit. */
-    TOO_LARGE,
+    TOO_LARGE(ErrorCode.TOO_LARGE, "the body is longer than the limit"),
 
     /** The caller closed the connection or was too slow. */
-    INCOMPLETE,
-    ;
+    INCOMPLETE(ErrorCode.BAD_REQUEST, "the body is incomplete"),
 
-    /** A sentence for the caller, with the limit in bytes. */
-    fun message(limit: Int): String =
-        if (this == TOO_LARGE) "the body is longer than $limit bytes" else "the body is incomplete"
+    /** Other bodies take the memory that is set aside for them. */
+    NO_MEMORY(ErrorCode.OVERLOADED, "the entry host holds too many large requests"),
 }
 
 /** Reads the whole body of at most [limit] bytes. */
--- a/node/src/main/kotlin/org/auburnlever/entry/ClaimedRequests.kt
+++ b/node/src/main/kotlin/org/auburnlever/entry/ClaimedRequests.kt
@@ -23,7 +23,10 @@
     val claimId: String,
     val firstAttempt: Boolean,
     val deadlineMillis: Long,
-)
+) {
+    /** Ties the key to its body. */
+    val bodySha256Hex: String = sha256Hex(request.body.toByteArray())
+}
 
 /**
  * Runs requests that are not repeatable: claims the key, runs the request if the claim is granted, and records the
@@ -80,8 +83,7 @@
     private suspend fun submitClaim(keyed: KeyedRequest, seenInProgress: Boolean): ClaimAnswer? {
         val remaining = (keyed.deadlineMillis - clock()).coerceAtLeast(1)
         val purpose = ClaimPurpose.Request(keyed.request.service)
-        val digest = sha256Hex(keyed.request.body.toByteArray())
-        val command = LedgerCommand.Claim(keyed.key, digest, purpose, keyed.claimId, host, remaining)
+        val command = LedgerCommand.Claim(keyed.key, keyed.bodySha256Hex, purpose, keyed.claimId, host, remaining)
         val mayBeResend = seenInProgress || !keyed.firstAttempt
         return ledger.submit(keyed.owner, command, remaining).fold(
             success = { claimAnswer(it, purpose) },
--- a/node/src/main/kotlin/org/auburnlever/entry/ServiceRequestService.kt
+++ b/node/src/main/kotlin/org/auburnlever/entry/ServiceRequestService.kt
@@ -1,6 +1,5 @@
 package org.auburnlever.entry
 
-import com.github.michaelbull.result.Err
 import com.github.michaelbull.result.fold
 import com.linecorp.armeria.common.HttpRequest
 import com.linecorp.armeria.common.HttpResponse
@@ -44,13 +43,17 @@
     private val dispatcher: Dispatcher,
     ledger: LedgerClient,
     metrics: RoutingMetrics,
+    bodyMemoryBytes: Long = BODY_MEMORY_BYTES,
 ) : HttpService, Dumpable {
+    private val memory = BodyMemory(bodyMemoryBytes)
     private val authenticator = Authenticator(context.inForce)
     private val claims = ClaimedRequests(ledger, context.host, context.scope, metrics, context.clock)
     private val requests = RequestsInProgress()
 
     override fun serve(ctx: ServiceRequestContext, req: HttpRequest): HttpResponse =
-        HttpResponse.of(context.scope.future { requests.track { answer(ctx, req) } })
+        HttpResponse.of(
+            context.scope.future { requests.track { answer(ctx, req) } }.exceptionally { internalError(it) },
+        )
 
     /** Refuses new requests from now on; requests in progress go on. */
     fun beginDrain() {
@@ -73,6 +76,7 @@
         put("inProgress", requests.count)
         put("unrecorded", claims.unrecorded)
         put("shuttingDown", requests.isClosed)
+        put("bodyBytes", memory.usedBytes)
     }
 
     /** A request that waits for its outcome to be recorded counts once. */
@@ -93,11 +97,25 @@
     }
 
     private suspend fun run(arrival: Arrival, ctx: ServiceRequestContext, req: HttpRequest): Outcome {
+        val limit = arrival.bundle.limits.maxRequestBytes
+        val length = req.headers().contentLength()
+        val reserved = if (length >= 0) length else limit.toLong()
+        return when {
+            length > limit -> arrival.notRunNow(BodyError.TOO_LARGE)
+            !memory.reserve(reserved) -> arrival.notRunNow(BodyError.NO_MEMORY)
+            else -> try {
+                readAndRun(arrival, ctx, req)
+            } finally {
+                memory.release(reserved)
+            }
+        }
+    }
+
+    private suspend fun readAndRun(arrival: Arrival, ctx: ServiceRequestContext, req: HttpRequest): Outcome {
         val limit = arrival.bundle.limits.maxRequestBytes
         ctx.setRequestTimeoutMillis(arrival.head.timeoutMillis + ANSWER_GRACE_MILLIS)
         ctx.setMaxRequestLength(limit + LENGTH_SLACK_BYTES)
-        val body = if (req.headers().contentLength() > limit) Err(BodyError.TOO_LARGE) else req.readBody(limit)
-        return body.fold(
+        return req.readBody(limit).fold(
             success = { run(arrival, arrival.toServiceRequest(ServiceName(ctx.pathParam("service").orEmpty()), it)) },
             failure = { arrival.notRunNow(it) },
         )
@@ -167,10 +185,20 @@
     )
 
     /** This arrival was not run, but an earlier one with the same key may have been. */
-    fun notRunNow(error: BodyError): Outcome {
-        val code = if (error == BodyError.TOO_LARGE) ErrorCode.TOO_LARGE else ErrorCode.BAD_REQUEST
-        val message = error.message(bundle.limits.maxRequestBytes)
-        val certain = head.repeatable || head.firstAttempt
-        return if (certain) Outcome.Refused(code, message) else Outcome.Unknown(code, message)
-    }
+    fun notRunNow(error: BodyError): Outcome =
+        if (head.repeatable || head.firstAttempt) {
+            Outcome.Refused(error.code, error.message)
+        } else {
+            Outcome.Unknown(error.code, error.message)
+        }
 }
+
+/** A fault in this process, or its end, leaves open what became of the request. */
+private fun internalError(failure: Throwable): HttpResponse =
+    Outcome.Unknown(ErrorCode.INTERNAL, "internal error: ${failure.unwrapped()}").toHttpResponse()
+
+/**
+ * A body exists up to three times while it is sent (received, kept for a retry, on its way), so this takes at most
+ * 15 MB of the heap of 40 MB.
+ */
+private const val BODY_MEMORY_BYTES = 5_000_000L
--- a/node/src/test/kotlin/org/auburnlever/entry/HttpEndpointClientTest.kt
+++ b/node/src/test/kotlin/org/auburnlever/entry/HttpEndpointClientTest.kt
@@ -10,6 +10,7 @@
 import org.auburnlever.wire.Headers
 import org.auburnlever.world.EndpointName
 import java.net.ServerSocket
+import java.util.concurrent.CompletableFuture
 import kotlin.test.AfterTest
 import kotlin.test.Test
 import kotlin.test.assertEquals
@@ -102,6 +103,26 @@
         }
     }
 
+    /** Guards against an answer that arrives after its deadline and is taken for that of a later request. */
+    @Test
+    fun `a late answer reaches no other request`() {
+        val release = CompletableFuture<Unit>()
+        val endpoint = RawEndpoint {
+            if (it.id == "late") release.join()
+            RawAnswer(rawAnswer(it.id, it.id))
+        }
+        endpoint.use {
+            runBlocking {
+                assertIs<AttemptResult.Silent>(client.send(grant(it.port), attempt("late", timeoutMillis = 100)))
+                release.complete(Unit)
+                repeat(20) { round ->
+                    val result = client.send(grant(it.port), attempt("next-$round"))
+                    assertEquals("next-$round", assertIs<AttemptResult.Answered>(result).answer.body?.decodeToString())
+                }
+            }
+        }
+    }
+
     /** Guards against the second of two answers reaching the next request on the same connection. */
     @Test
     fun `a doubled answer never reaches another request`() {
--- a/node/src/test/kotlin/org/auburnlever/entry/ServiceRequestServiceTest.kt
+++ b/node/src/test/kotlin/org/auburnlever/entry/ServiceRequestServiceTest.kt
@@ -144,6 +144,36 @@
         }
     }
 
+    /** Guards against a burst of large bodies that takes the whole heap. */
+    @Test
+    fun `large requests beyond the memory for bodies are refused until others end`() {
+        val release = CompletableFuture<HttpResponse>()
+        val arrived = CompletableFuture<AggregatedHttpRequest>()
+        val slow: TestEndpoint.(AggregatedHttpRequest) -> HttpResponse = {
+            if (arrived.complete(it)) HttpResponse.of(release) else it.tagged()
+        }
+        withHost(answer = slow) { host, _ ->
+            val first = CompletableFuture<String?>()
+            thread { first.complete(host.request("x".repeat(8_000)).outcome) }
+            val request = arrived.join()
+            val second = host.request("x".repeat(8_000))
+            assertEquals("refused" to "overloaded", second.outcome to second.errorCode)
+            assertEquals("completed", host.request("small").outcome)
+            release.complete(request.tagged())
+            assertEquals("completed", first.join())
+            assertEquals("completed", host.request("x".repeat(8_000)).outcome)
+        }
+    }
+
+    /** Guards against an error without an outcome when a part of this process fails. */
+    @Test
+    fun `a fault in the ledger client leaves the outcome unknown`() {
+        withHost(FakeLedger { error("broken client") }) { host, _ ->
+            val answer = host.keyed("1764820800-a", "whale")
+            assertEquals("unknown" to "internal", answer.outcome to answer.errorCode)
+        }
+    }
+
     @Test
     fun `requests with wrong headers are refused`() = withHost { host, endpoint ->
         val answers = listOf(
--- a/node/src/test/kotlin/org/auburnlever/entry/TestDeployment.kt
+++ b/node/src/test/kotlin/org/auburnlever/entry/TestDeployment.kt
@@ -104,6 +104,7 @@
         dispatcher,
         ledger,
         metrics,
+        bodyMemoryBytes = 15_000,
     )
     private val server = Server.builder()
         .http(0)
