Use endpoints that announce few connections

Cause: four connections are set aside for each request, so an endpoint with less than four for an entry host announced itself and was never used.

Change: a share of two or three connections allows one request.

Ruled out: refusing such announcements, as the count of entry hosts is not the endpoint's business.

Conclusion: every endpoint with two connections for each entry host is used.

--- a/core/src/main/kotlin/org/auburnlever/routing/EntryShares.kt
+++ b/core/src/main/kotlin/org/auburnlever/routing/EntryShares.kt
@@ -22,7 +22,9 @@
     /** Requests that this host may have at the endpoint at one time. */
     fun requestLimit(announcement: EndpointAnnouncement): Int {
         val connections = share(announcement, announcement.connections)
-        return minOf(share(announcement, announcement.slots), connections / CONNECTIONS_PER_REQUEST)
+        val least = if (connections >= LEAST_CONNECTIONS) 1 else 0
+        val fitting = (connections / CONNECTIONS_PER_REQUEST).coerceAtLeast(least)
+        return minOf(share(announcement, announcement.slots), fitting)
     }
 
     /**
@@ -45,5 +47,8 @@
          * returns to the pool or closes a moment after its answer, when the next request may have begun.
          */
         const val CONNECTIONS_PER_REQUEST = 4
+
+        /** One connection that runs a request and one that is still idle or closing. */
+        const val LEAST_CONNECTIONS = 2
     }
 }
