Add the peer links

Cause: hosts need authenticated messages and calls between each other, and connections that go silent for good must be found and replaced.

Change: Ktor sockets with length-prefixed CBOR frames, a mutual challenge over the shared key, a tag and a running number on every frame, keep-alives each 500 ms, closing after 2 s of silence, calls matched by id with time limits.

Ruled out: one connection for both directions, because then neither side can tell whose duty it is to replace it.

Measured: 4 tests with real sockets pass, among them one that freezes an open connection through a relay and sees the next call succeed on a new one.

--- /dev/null
+++ b/node/src/main/kotlin/org/auburnlever/transport/DialledLink.kt
@@ -0,0 +1,25 @@
+package org.auburnlever.transport
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Result
+import kotlinx.coroutines.withTimeoutOrNull
+import org.auburnlever.peer.PeerMessage
+import org.auburnlever.peer.PeerReply
+import org.auburnlever.peer.PeerRequest
+
+/** A link that this host opened, with the calls that wait for replies on it. */
+internal class DialledLink(val link: Link, val pending: PendingCalls) {
+    /** Sends [request] and waits at most [timeoutMillis] for the reply. */
+    suspend fun call(request: PeerRequest, timeoutMillis: Long): Result<PeerReply, CallError> {
+        val (callId, deferred) = pending.open()
+        try {
+            if (!link.offer(PeerMessage.Call(callId, timeoutMillis, request))) {
+                return Err(CallError.NotSent("the queue to ${link.peer} is full or its link closed"))
+            }
+            return withTimeoutOrNull(timeoutMillis) { deferred.await() }
+                ?: Err(CallError.NoReply("${link.peer} did not reply within $timeoutMillis ms"))
+        } finally {
+            pending.abandon(callId)
+        }
+    }
+}
--- /dev/null
+++ b/node/src/main/kotlin/org/auburnlever/transport/FrameChannel.kt
@@ -0,0 +1,61 @@
+package org.auburnlever.transport
+
+import io.ktor.network.sockets.Socket
+import io.ktor.network.sockets.openReadChannel
+import io.ktor.network.sockets.openWriteChannel
+import io.ktor.utils.io.ByteReadChannel
+import io.ktor.utils.io.ByteWriteChannel
+import io.ktor.utils.io.readByteArray
+import io.ktor.utils.io.readInt
+import io.ktor.utils.io.writeByteArray
+import io.ktor.utils.io.writeInt
+
+/** A frame that breaks the protocol; the link is closed. */
+internal class FrameException(message: String) : Exception(message)
+
+/** Reads and writes length-prefixed frames on a TCP socket. */
+internal class FrameChannel(private val socket: Socket) {
+    private val input: ByteReadChannel = socket.openReadChannel()
+    private val output: ByteWriteChannel = socket.openWriteChannel(autoFlush = false)
+
+    /** Writes one frame without authentication, as the handshake does. */
+    suspend fun writePlain(payload: ByteArray) {
+        output.writeInt(payload.size)
+        output.writeByteArray(payload)
+        output.flush()
+    }
+
+    /** Reads one frame without authentication; handshake frames are small. */
+    suspend fun readPlain(): ByteArray = input.readByteArray(checkedLength(input.readInt(), MAX_HANDSHAKE_BYTES))
+
+    /** Writes one authenticated frame; an empty [payload] is a keep-alive. The caller flushes. */
+    suspend fun write(payload: ByteArray, seal: FrameSeal) {
+        output.writeInt(payload.size)
+        output.writeByteArray(seal.nextTag(payload))
+        output.writeByteArray(payload)
+    }
+
+    suspend fun flush() = output.flush()
+
+    /** Reads one authenticated frame and throws [FrameException] if its tag is wrong. */
+    suspend fun read(seal: FrameSeal): ByteArray {
+        val length = checkedLength(input.readInt(), MAX_FRAME_BYTES)
+        val tag = input.readByteArray(FrameSeal.TAG_BYTES)
+        val payload = input.readByteArray(length)
+        if (!sameBytes(tag, seal.nextTag(payload))) throw FrameException("frame of $length bytes has a wrong tag")
+        return payload
+    }
+
+    fun close() = socket.close()
+
+    private fun checkedLength(length: Int, maxBytes: Int): Int {
+        if (length !in 0..maxBytes) throw FrameException("frame length $length is not within 0..$maxBytes")
+        return length
+    }
+
+    companion object {
+        /** Largest payload of a frame. */
+        const val MAX_FRAME_BYTES = 1_048_576
+        private const val MAX_HANDSHAKE_BYTES = 1_024
+    }
+}
--- /dev/null
+++ b/node/src/main/kotlin/org/auburnlever/transport/Handshake.kt
@@ -0,0 +1,83 @@
+package org.auburnlever.transport
+
+import kotlinx.serialization.Serializable
+import org.auburnlever.codec.Bytes
+import org.auburnlever.world.HostName
+import java.security.MessageDigest
+import java.security.SecureRandom
+import javax.crypto.Mac
+import javax.crypto.spec.SecretKeySpec
+
+/** First frame of a link: who dials whom, and a fresh random value. */
+@Serializable
+internal data class Hello(val protocolVersion: Int, val from: HostName, val to: HostName, val nonce: Bytes)
+
+/** The accepting side's random value and its proof of the shared key. */
+@Serializable
+internal data class Challenge(val nonce: Bytes, val proof: Bytes)
+
+/** The dialling side's proof of the shared key. */
+@Serializable
+internal data class Proof(val proof: Bytes)
+
+/** The secret that all hosts of the system share. */
+class SharedKey(bytes: ByteArray) {
+    private val key = SecretKeySpec(bytes.copyOf(), MAC_ALGORITHM)
+
+    internal fun sign(vararg parts: ByteArray): ByteArray {
+        val mac = Mac.getInstance(MAC_ALGORITHM)
+        mac.init(key)
+        parts.forEach { part ->
+            mac.update(lengthPrefix(part.size))
+            mac.update(part)
+        }
+        return mac.doFinal()
+    }
+
+    override fun toString(): String = "SharedKey(hidden)"
+}
+
+/**
+ * Proofs and session keys of one link, derived from both random values, so that a recorded handshake can't be replayed.
+ */
+internal class LinkSecrets(private val key: SharedKey, hello: Hello, acceptorNonce: ByteArray) {
+    private val context: ByteArray =
+        "${hello.from}>${hello.to}".encodeToByteArray() + hello.nonce.toByteArray() + acceptorNonce
+
+    val acceptorProof: ByteArray get() = key.sign("acceptor-proof".encodeToByteArray(), context)
+
+    val diallerProof: ByteArray get() = key.sign("dialler-proof".encodeToByteArray(), context)
+
+    fun diallerSeal(): FrameSeal = FrameSeal(key.sign("dialler-frames".encodeToByteArray(), context))
+
+    fun acceptorSeal(): FrameSeal = FrameSeal(key.sign("acceptor-frames".encodeToByteArray(), context))
+}
+
+/** Authenticates the frames of one direction of a link; the running number prevents replay and reordering. */
+internal class FrameSeal(sessionKey: ByteArray) {
+    private val mac = Mac.getInstance(MAC_ALGORITHM).apply { init(SecretKeySpec(sessionKey, MAC_ALGORITHM)) }
+    private var sequence = 0L
+
+    /** Returns the tag of the next frame of this direction. */
+    fun nextTag(payload: ByteArray): ByteArray {
+        mac.update(sequence.toBytes())
+        sequence += 1
+        return mac.doFinal(payload).copyOf(TAG_BYTES)
+    }
+
+    companion object {
+        const val TAG_BYTES = 16
+    }
+}
+
+internal fun sameBytes(left: ByteArray, right: ByteArray): Boolean = MessageDigest.isEqual(left, right)
+
+internal fun randomNonce(): ByteArray = ByteArray(NONCE_BYTES).also { SecureRandom().nextBytes(it) }
+
+private fun Long.toBytes(): ByteArray = ByteArray(Long.SIZE_BYTES) { (this shr (it * Byte.SIZE_BITS)).toByte() }
+
+private fun lengthPrefix(length: Int): ByteArray = length.toLong().toBytes()
+
+internal const val PROTOCOL_VERSION = 1
+private const val MAC_ALGORITHM = "HmacSHA256"
+private const val NONCE_BYTES = 32
--- /dev/null
+++ b/node/src/main/kotlin/org/auburnlever/transport/Link.kt
@@ -0,0 +1,103 @@
+package org.auburnlever.transport
+
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.ExperimentalCoroutinesApi
+import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.selects.onTimeout
+import kotlinx.coroutines.selects.select
+import kotlinx.coroutines.withTimeoutOrNull
+import org.auburnlever.codec.Bytes
+import org.auburnlever.codec.Codec
+import org.auburnlever.peer.PeerMessage
+import org.auburnlever.world.HostName
+
+/** One authenticated connection to [peer], used in both directions until it breaks or falls silent. */
+internal class Link(
+    val peer: HostName,
+    private val frames: FrameChannel,
+    private val sendSeal: FrameSeal,
+    private val receiveSeal: FrameSeal,
+    private val counters: LinkCounters,
+) {
+    private val outgoing = Channel<ByteArray>(QUEUE_FRAMES)
+
+    /** Queues [message]; returns false, and nothing is sent, if the queue is full or the link closed. */
+    fun offer(message: PeerMessage): Boolean {
+        val payload = Codec.encode(message).toByteArray()
+        return payload.size <= FrameChannel.MAX_FRAME_BYTES && outgoing.trySend(payload).isSuccess
+    }
+
+    /** Carries frames until the link ends; [onMessage] gets each message received. */
+    suspend fun run(onMessage: CoroutineScope.(PeerMessage) -> Unit) {
+        try {
+            coroutineScope {
+                val writer = launch { writeFrames() }
+                readFrames { onMessage(it) }
+                writer.cancel()
+            }
+        } finally {
+            close()
+        }
+    }
+
+    fun close() {
+        outgoing.close()
+        frames.close()
+    }
+
+    private suspend fun writeFrames() {
+        var payload = nextPayload()
+        while (payload != null) {
+            write(payload)
+            writeQueued()
+            frames.flush()
+            payload = nextPayload()
+        }
+    }
+
+    /** Waits for a payload; returns a keep-alive when none comes in time and null once the link is closed. */
+    @OptIn(ExperimentalCoroutinesApi::class)
+    private suspend fun nextPayload(): ByteArray? =
+        select {
+            outgoing.onReceiveCatching { it.getOrNull() }
+            onTimeout(KEEP_ALIVE_MILLIS) { KEEP_ALIVE }
+        }
+
+    private suspend fun writeQueued() {
+        var next = outgoing.tryReceive().getOrNull()
+        while (next != null) {
+            write(next)
+            next = outgoing.tryReceive().getOrNull()
+        }
+    }
+
+    private suspend fun write(payload: ByteArray) {
+        frames.write(payload, sendSeal)
+        counters.sentBytes.increment(payload.size.toDouble())
+    }
+
+    private suspend fun readFrames(onMessage: (PeerMessage) -> Unit) {
+        while (true) {
+            val payload = withTimeoutOrNull(SILENCE_LIMIT_MILLIS) { frames.read(receiveSeal) }
+            if (payload == null) {
+                counters.closedSilent.increment()
+                return
+            }
+            counters.receivedBytes.increment(payload.size.toDouble())
+            if (payload.isNotEmpty()) onMessage(Codec.decode(Bytes(payload)))
+        }
+    }
+
+    companion object {
+        /** An idle link carries a keep-alive this often. */
+        const val KEEP_ALIVE_MILLIS = 500L
+
+        /** A link without a frame for this long is closed; a working peer sends four in that time. */
+        const val SILENCE_LIMIT_MILLIS = 2_000L
+
+        private const val QUEUE_FRAMES = 1_024
+        private val KEEP_ALIVE = ByteArray(0)
+    }
+}
--- /dev/null
+++ b/node/src/main/kotlin/org/auburnlever/transport/LinkDialler.kt
@@ -0,0 +1,75 @@
+package org.auburnlever.transport
+
+import io.github.oshai.kotlinlogging.KotlinLogging
+import io.ktor.network.selector.SelectorManager
+import io.ktor.network.sockets.InetSocketAddress
+import io.ktor.network.sockets.aSocket
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.isActive
+import kotlinx.coroutines.withTimeoutOrNull
+import org.auburnlever.peer.PeerMessage
+import org.auburnlever.world.HostName
+import java.util.concurrent.ConcurrentHashMap
+
+private val logger = KotlinLogging.logger {}
+
+/** Keeps a link open to each other host and opens a new one when it breaks or falls silent. */
+internal class LinkDialler(
+    private val selector: SelectorManager,
+    private val handshaker: Handshaker,
+    private val counters: LinkCounters,
+) {
+    private val links = ConcurrentHashMap<HostName, DialledLink>()
+
+    /** The live link to [host], null while there is none. */
+    fun link(host: HostName): DialledLink? = links[host]
+
+    /** Hosts with a live link. */
+    fun reachable(): Set<HostName> = links.keys.toSet()
+
+    /** Dials [peer] again and again until [scope] ends. */
+    suspend fun keepDialling(peer: Peer, scope: CoroutineScope) {
+        while (scope.isActive) {
+            guardLink("link to ${peer.host}", counters) { dial(peer) }
+            delay(REDIAL_MILLIS)
+        }
+    }
+
+    fun close() = links.values.forEach { it.link.close() }
+
+    private suspend fun dial(peer: Peer) {
+        val address = InetSocketAddress(peer.address, peer.port)
+        val socket = withTimeoutOrNull(HANDSHAKE_LIMIT_MILLIS) { aSocket(selector).tcp().connect(address) } ?: return
+        socket.use {
+            val frames = FrameChannel(socket)
+            val agreed = withTimeoutOrNull(HANDSHAKE_LIMIT_MILLIS) { handshaker.dial(frames, peer.host) }
+            if (agreed == null) counters.refusedHandshakes.increment() else carry(frames, agreed)
+        }
+    }
+
+    private suspend fun carry(frames: FrameChannel, agreed: AgreedLink) {
+        val link = Link(agreed.peer, frames, agreed.sendSeal, agreed.receiveSeal, counters)
+        val dialled = DialledLink(link, PendingCalls())
+        links[agreed.peer] = dialled
+        counters.opened.increment()
+        logger.info { "link to ${agreed.peer} opened" }
+        try {
+            link.run { message -> complete(dialled, message) }
+        } finally {
+            links.remove(agreed.peer, dialled)
+            dialled.pending.failAll()
+            logger.info { "link to ${agreed.peer} closed" }
+        }
+    }
+
+    /** Only replies come back on a link that this host dialled. */
+    private fun complete(dialled: DialledLink, message: PeerMessage) {
+        val reply = message as? PeerMessage.Reply ?: return
+        if (!dialled.pending.complete(reply.callId, reply.reply)) counters.lateReplies.increment()
+    }
+
+    private companion object {
+        const val REDIAL_MILLIS = 200L
+    }
+}
--- /dev/null
+++ b/node/src/main/kotlin/org/auburnlever/transport/LinkListener.kt
@@ -0,0 +1,70 @@
+package org.auburnlever.transport
+
+import io.ktor.network.selector.SelectorManager
+import io.ktor.network.sockets.InetSocketAddress
+import io.ktor.network.sockets.ServerSocket
+import io.ktor.network.sockets.Socket
+import io.ktor.network.sockets.aSocket
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.isActive
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
+import org.auburnlever.peer.PeerMessage
+import org.auburnlever.peer.PeerReply
+
+/** Accepts the links that other hosts open and answers the calls on them. */
+internal class LinkListener(
+    private val self: Peer,
+    private val handshaker: Handshaker,
+    private val handler: PeerHandler,
+    private val counters: LinkCounters,
+) {
+    private var listener: ServerSocket? = null
+
+    /** Binds the address. Throws `IOException` when that fails. */
+    suspend fun bind(selector: SelectorManager) {
+        listener = aSocket(selector).tcp().bind(InetSocketAddress(self.address, self.port)) { reuseAddress = true }
+    }
+
+    /** Accepts links until [scope] ends. */
+    suspend fun acceptLinks(scope: CoroutineScope) {
+        val bound = checkNotNull(listener) { "the listener is not bound" }
+        while (scope.isActive) {
+            val socket = bound.accept()
+            scope.launch { guardLink("accepted link", counters) { serve(socket) } }
+        }
+    }
+
+    fun close() {
+        listener?.close()
+    }
+
+    private suspend fun serve(socket: Socket) {
+        socket.use {
+            val frames = FrameChannel(socket)
+            val agreed = withTimeoutOrNull(HANDSHAKE_LIMIT_MILLIS) { handshaker.accept(frames) }
+            if (agreed == null) {
+                counters.refusedHandshakes.increment()
+                return
+            }
+            val link = Link(agreed.peer, frames, agreed.sendSeal, agreed.receiveSeal, counters)
+            link.run { message -> receive(link, message) }
+        }
+    }
+
+    private fun CoroutineScope.receive(link: Link, message: PeerMessage) {
+        when (message) {
+            is PeerMessage.Consensus -> handler.onConsensus(message)
+            is PeerMessage.Gossip -> handler.onGossip(message)
+            is PeerMessage.Call -> launch { answer(link, message) }
+            is PeerMessage.Reply -> counters.lateReplies.increment()
+        }
+    }
+
+    private suspend fun answer(link: Link, call: PeerMessage.Call) {
+        val limitMillis = call.timeoutMillis
+        val reply = withTimeoutOrNull(limitMillis) { handler.onCall(link.peer, call.request, limitMillis) }
+            ?: PeerReply.Undecided("no answer within $limitMillis ms")
+        if (!link.offer(PeerMessage.Reply(call.callId, reply))) counters.droppedMessages.increment()
+    }
+}
--- /dev/null
+++ b/node/src/main/kotlin/org/auburnlever/transport/PeerTransport.kt
@@ -0,0 +1,78 @@
+package org.auburnlever.transport
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Result
+import io.ktor.network.selector.SelectorManager
+import io.micrometer.core.instrument.MeterRegistry
+import kotlinx.coroutines.CoroutineExceptionHandler
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.asCoroutineDispatcher
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.launch
+import org.auburnlever.peer.PeerMessage
+import org.auburnlever.peer.PeerReply
+import org.auburnlever.peer.PeerRequest
+import org.auburnlever.world.HostName
+import java.util.concurrent.Executors
+
+/**
+ * The links of one host: dials every other host, accepts their links, and carries messages and calls.
+ *
+ * Each host dials each other one, so that a call and its reply travel on a link that the caller supervises itself.
+ * [onFault] gets errors that no link can explain; the host stops on them.
+ */
+class PeerTransport(
+    override val self: Peer,
+    override val others: List<Peer>,
+    key: SharedKey,
+    handler: PeerHandler,
+    registry: MeterRegistry,
+    onFault: (Throwable) -> Unit,
+) : PeerClient, PeerDirectory {
+    private val executor = Executors.newFixedThreadPool(THREADS) { Thread(it, "peer-links").apply { isDaemon = true } }
+    private val dispatcher = executor.asCoroutineDispatcher()
+    private val faults = CoroutineExceptionHandler { _, fault -> onFault(fault) }
+    private val scope = CoroutineScope(SupervisorJob() + dispatcher + faults)
+    private val selector = SelectorManager(dispatcher)
+    private val counters = LinkCounters(registry)
+    private val handshaker = Handshaker(self.host, key)
+    private val listener = LinkListener(self, handshaker, handler, counters)
+    private val dialler = LinkDialler(selector, handshaker, counters)
+
+    /** Binds the listener and starts to dial. Throws `IOException` when the address can't be bound. */
+    suspend fun start() {
+        listener.bind(selector)
+        scope.launch { listener.acceptLinks(scope) }
+        others.forEach { peer -> scope.launch { dialler.keepDialling(peer, scope) } }
+    }
+
+    override fun reachable(): Set<HostName> = dialler.reachable()
+
+    /** Sends [message] to [host] if there is a link; it may be lost. */
+    fun send(host: HostName, message: PeerMessage) {
+        val sent = dialler.link(host)?.link?.offer(message) ?: false
+        if (!sent) counters.droppedMessages.increment()
+    }
+
+    override suspend fun call(
+        host: HostName,
+        request: PeerRequest,
+        timeoutMillis: Long,
+    ): Result<PeerReply, CallError> =
+        dialler.link(host)?.call(request, timeoutMillis) ?: Err(CallError.NotSent("no link to $host"))
+
+    /** Closes all links and stops the threads. */
+    fun close() {
+        scope.cancel()
+        dialler.close()
+        listener.close()
+        selector.close()
+        executor.shutdown()
+    }
+
+    private companion object {
+        /** One thread waits in the selector, the others carry frames and calls. */
+        const val THREADS = 3
+    }
+}
--- /dev/null
+++ b/node/src/test/kotlin/org/auburnlever/transport/PeerTransportTest.kt
@@ -0,0 +1,117 @@
+package org.auburnlever.transport
+
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.getError
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.runBlocking
+import kotlinx.coroutines.withTimeout
+import org.auburnlever.peer.PeerMessage
+import org.auburnlever.peer.PeerReply
+import org.auburnlever.peer.PeerRequest
+import org.auburnlever.world.DomainName
+import org.auburnlever.world.HostName
+import org.auburnlever.world.RegionName
+import java.net.ServerSocket
+import kotlin.test.AfterTest
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertIs
+
+class PeerTransportTest {
+    private val registry = SimpleMeterRegistry()
+    private val opened = mutableListOf<PeerTransport>()
+    private val first = peer("first")
+    private val second = peer("second")
+
+    @AfterTest
+    fun closeTransports() = opened.forEach { it.close() }
+
+    /** Guards against a reply that reaches another call than its own. */
+    @Test
+    fun `each call gets its own reply`() = runBlocking {
+        val caller = open(first, second, key("a"), EchoHandler())
+        open(second, first, key("a"), EchoHandler())
+        awaitLink(caller, second)
+        val replies = (1..20).map { caller.call(second.host, PeerRequest.FetchBundle, CALL_MILLIS) }
+        assertEquals(20, replies.count { it == Ok(PeerReply.Document("1")) })
+    }
+
+    /** Guards against accepting a host that does not hold the shared key. */
+    @Test
+    fun `a wrong key gets no link`() = runBlocking {
+        val caller = open(first, second, key("a"), EchoHandler())
+        open(second, first, key("b"), EchoHandler())
+        withTimeout(WAIT_MILLIS) {
+            while (registry.counter("auburn.link.handshake.refused").count() < 2) delay(POLL_MILLIS)
+        }
+        assertEquals(emptySet(), caller.reachable())
+        val result = caller.call(second.host, PeerRequest.FetchBundle, CALL_MILLIS)
+        assertIs<CallError.NotSent>(result.getError())
+        Unit
+    }
+
+    /** Guards against waiting forever on a connection that went silent while new ones work. */
+    @Test
+    fun `a frozen connection is replaced by a new one`() = runBlocking {
+        FreezableRelay(second.port).use { relay ->
+            val caller = open(first, second.copy(port = relay.port), key("a"), EchoHandler())
+            open(second, first, key("a"), EchoHandler())
+            awaitLink(caller, second)
+            relay.freeze()
+            val lost = caller.call(second.host, PeerRequest.FetchBundle, CALL_MILLIS)
+            assertIs<CallError.NoReply>(lost.getError())
+            awaitOpened(links = 3)
+            assertEquals(Ok(PeerReply.Document("1")), caller.call(second.host, PeerRequest.FetchBundle, CALL_MILLIS))
+        }
+    }
+
+    /** Guards against a call that hangs because its host never replies. */
+    @Test
+    fun `a call ends after its time limit`() = runBlocking {
+        val caller = open(first, second, key("a"), EchoHandler())
+        open(second, first, key("a"), EchoHandler(gate = CompletableDeferred()))
+        awaitLink(caller, second)
+        val result = caller.call(second.host, PeerRequest.FetchBundle, timeoutMillis = 50)
+        assertIs<CallError.NoReply>(result.getError())
+        Unit
+    }
+
+    private suspend fun awaitOpened(links: Int) =
+        withTimeout(WAIT_MILLIS) {
+            while (registry.counter("auburn.link.opened").count() < links) delay(POLL_MILLIS)
+        }
+
+    private suspend fun open(self: Peer, other: Peer, key: SharedKey, handler: PeerHandler): PeerTransport {
+        val transport = PeerTransport(self, listOf(other), key, handler, registry) { throw it }
+        opened += transport
+        transport.start()
+        return transport
+    }
+
+    private suspend fun awaitLink(transport: PeerTransport, peer: Peer) =
+        withTimeout(WAIT_MILLIS) { while (peer.host !in transport.reachable()) delay(POLL_MILLIS) }
+
+    private fun key(text: String) = SharedKey(text.repeat(32).encodeToByteArray())
+
+    private fun peer(name: String) =
+        Peer(HostName(name), RegionName("r"), DomainName("d"), "127.0.0.1", ServerSocket(0).use { it.localPort })
+
+    private class EchoHandler(private val gate: CompletableDeferred<Unit>? = null) : PeerHandler {
+        override fun onConsensus(message: PeerMessage.Consensus) = Unit
+
+        override fun onGossip(gossip: PeerMessage.Gossip) = Unit
+
+        override suspend fun onCall(from: HostName, request: PeerRequest, timeoutMillis: Long): PeerReply {
+            gate?.await()
+            return PeerReply.Document("1")
+        }
+    }
+
+    private companion object {
+        const val CALL_MILLIS = 2_000L
+        const val WAIT_MILLIS = 10_000L
+        const val POLL_MILLIS = 10L
+    }
+}
