Add the Raft replica and the log store

Membership gains promotions, ReplicaInput.Received gains to, RejectionReason gains TOO_LARGE, Bytes gains slice and concat.

Ruled out: one frame per write. A batch is one frame, so a torn write can only concern the last frame of a segment.

--- a/core/src/main/kotlin/org/auburnlever/codec/Bytes.kt
+++ b/core/src/main/kotlin/org/auburnlever/codec/Bytes.kt
@@ -11,6 +11,9 @@
     /** Returns a copy, so that callers can't change this value. */
     fun toByteArray(): ByteArray = array.copyOf()
 
+    /** Copies the bytes from [start] until before [end]. */
+    fun slice(start: Int, end: Int): Bytes = Bytes(array.copyOfRange(start, end))
+
     override fun equals(other: Any?): Boolean = other is Bytes && array.contentEquals(other.array)
 
     override fun hashCode(): Int = array.contentHashCode()
@@ -23,6 +26,17 @@
 
         /** Encodes [text] as UTF-8. */
         fun of(text: String): Bytes = Bytes(text.encodeToByteArray())
+
+        /** Joins [parts] in order. */
+        fun concat(parts: List<Bytes>): Bytes {
+            val joined = ByteArray(parts.sumOf { it.size })
+            var offset = 0
+            for (part in parts) {
+                part.array.copyInto(joined, offset)
+                offset += part.size
+            }
+            return Bytes(joined)
+        }
     }
 }
 
--- /dev/null
+++ b/core/src/main/kotlin/org/auburnlever/consensus/Acknowledgements.kt
@@ -0,0 +1,43 @@
+package org.auburnlever.consensus
+
+internal fun StepScope.onAppendAccepted(from: ReplicaId, answer: ReplicaMessage.AppendAccepted) {
+    if (!hearFrom(from, answer.term, answer.round)) return
+    val base = state.log.baseIndex
+    updatePeer(from) { it.accepted(answer.matchIndex, base) }
+}
+
+private fun PeerProgress.accepted(match: Long, base: Long): PeerProgress = when (mode) {
+    ReplicationMode.REPLICATE -> copy(
+        matchIndex = maxOf(matchIndex, match),
+        nextIndex = maxOf(nextIndex, match + 1),
+        inFlight = inFlight.removeAll { it <= match },
+    )
+    ReplicationMode.PROBE -> replicating(maxOf(matchIndex, match))
+    ReplicationMode.SNAPSHOT -> if (match >= base) replicating(maxOf(matchIndex, match)) else this
+}
+
+internal fun StepScope.onAppendRejected(from: ReplicaId, answer: ReplicaMessage.AppendRejected) {
+    if (!hearFrom(from, answer.term, answer.round)) return
+    val progress = state.peers.getValue(from)
+    val current = when (progress.mode) {
+        ReplicationMode.REPLICATE -> answer.previousIndex > progress.matchIndex
+        ReplicationMode.PROBE -> answer.previousIndex == progress.nextIndex - 1
+        ReplicationMode.SNAPSHOT -> false
+    }
+    if (current) updatePeer(from) { it.probing(maxOf(state.log.retryIndex(answer), it.matchIndex + 1)) }
+}
+
+// Skips a whole term per answer: to the leader's last entry of the conflicting term, or the peer's first one.
+private fun ReplicaLog.retryIndex(answer: ReplicaMessage.AppendRejected): Long {
+    val afterTerm = answer.conflictTerm?.let { lastOfTerm(it) }?.plus(1)
+    return minOf(afterTerm ?: answer.conflictIndex, answer.previousIndex)
+}
+
+/** Notes an answer of [from]; returns false if this replica does not lead in the answer's [term]. */
+internal fun StepScope.hearFrom(from: ReplicaId, term: Long, round: Long): Boolean {
+    observeTerm(term)
+    val leader = leading
+    if (leader == null || term != state.term || from !in leader.peers) return false
+    updatePeer(from) { it.copy(heardMillis = nowMillis, round = maxOf(it.round, round)) }
+    return true
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/auburnlever/consensus/Elections.kt
@@ -0,0 +1,81 @@
+package org.auburnlever.consensus
+
+import kotlinx.collections.immutable.persistentSetOf
+
+/** Starts a pre-vote, or only forgets the leader if this replica has no vote. */
+internal fun StepScope.onElectionTimeout() {
+    restartElectionTimer()
+    if (!state.mayCampaign) {
+        state = state.copy(stance = Stance.Follower(leader = null))
+        return
+    }
+    state = state.copy(stance = Stance.PreCandidate(persistentSetOf(state.id)))
+    if (state.membership.isQuorum(setOf(state.id))) {
+        startElection(transfer = false)
+    } else {
+        askVoters(ReplicaMessage.PreVoteRequest(state.term, state.lastIndex, state.log.lastTerm))
+    }
+}
+
+internal fun StepScope.onPreVoteRequest(from: ReplicaId, request: ReplicaMessage.PreVoteRequest) {
+    if (state.role == null || hearsLeader()) return
+    val granted = request.term >= state.term && state.isUpToDate(request.lastTerm, request.lastIndex)
+    send(from, ReplicaMessage.PreVoteAnswer(state.term, granted))
+}
+
+internal fun StepScope.onPreVoteAnswer(from: ReplicaId, answer: ReplicaMessage.PreVoteAnswer) {
+    if (!answer.granted) observeTerm(answer.term)
+    val stance = state.stance
+    if (!answer.granted || stance !is Stance.PreCandidate) return
+    val granted = stance.granted.add(from)
+    state = state.copy(stance = Stance.PreCandidate(granted))
+    if (state.membership.isQuorum(granted)) startElection(transfer = false)
+}
+
+/** Campaigns in the next term; [transfer] lets voters grant it although they hear from a leader. */
+internal fun StepScope.startElection(transfer: Boolean) {
+    restartElectionTimer()
+    state = state.copy(
+        term = state.term + 1,
+        votedFor = state.id,
+        stance = Stance.Candidate(persistentSetOf(state.id)),
+    )
+    persist(DurableWrite.Vote(state.term, state.id))
+    if (state.membership.isQuorum(setOf(state.id))) {
+        lead()
+    } else {
+        askVoters(ReplicaMessage.VoteRequest(state.term, state.lastIndex, state.log.lastTerm, transfer))
+    }
+}
+
+// A learner grants votes, too: it may have been promoted by an entry that has not reached it, and the candidate, which
+// has that entry, may need it. A candidate without the entry does not count its vote.
+internal fun StepScope.onVoteRequest(from: ReplicaId, request: ReplicaMessage.VoteRequest) {
+    if (state.role == null || hearsLeader() && !request.transfer) return
+    observeTerm(request.term)
+    val free = state.votedFor == null || state.votedFor == from
+    val granted = request.term == state.term && free && state.isUpToDate(request.lastTerm, request.lastIndex)
+    if (granted) grantVote(from)
+    send(from, ReplicaMessage.VoteAnswer(state.term, granted))
+}
+
+private fun StepScope.grantVote(candidate: ReplicaId) {
+    restartElectionTimer()
+    if (state.votedFor == null) persist(DurableWrite.Vote(state.term, candidate))
+    state = state.copy(votedFor = candidate)
+}
+
+internal fun StepScope.onVoteAnswer(from: ReplicaId, answer: ReplicaMessage.VoteAnswer) {
+    observeTerm(answer.term)
+    val stance = state.stance
+    if (!answer.granted || answer.term != state.term || stance !is Stance.Candidate) return
+    val granted = stance.granted.add(from)
+    state = state.copy(stance = Stance.Candidate(granted))
+    if (state.membership.isQuorum(granted)) lead()
+}
+
+private fun StepScope.askVoters(request: ReplicaMessage) =
+    (state.membership.voters - state.id).forEach { send(it, request) }
+
+private fun StepScope.hearsLeader(): Boolean = leading != null ||
+    state.timer.leaderHeardMillis.let { it != null && nowMillis - it < state.settings.electionTimeoutMinMillis }
--- /dev/null
+++ b/core/src/main/kotlin/org/auburnlever/consensus/Leading.kt
@@ -0,0 +1,90 @@
+package org.auburnlever.consensus
+
+import kotlinx.collections.immutable.persistentListOf
+import kotlinx.collections.immutable.toPersistentMap
+
+/** Becomes leader of the current term and appends its first entry. */
+internal fun StepScope.lead() {
+    val next = state.lastIndex + 1
+    val others = state.membership.roles.keys - state.id
+    state = state.copy(
+        stance = Stance.Leader(
+            electedMillis = nowMillis,
+            firstIndex = next,
+            peers = others.associateWith { PeerProgress.startingAt(next, ReplicationMode.REPLICATE) }.toPersistentMap(),
+            reads = persistentListOf(),
+            roundSent = 0,
+            roundConfirmed = 0,
+            heartbeatDueMillis = nowMillis,
+            transfer = null,
+            nextHandOverMillis = nowMillis,
+        ),
+        incoming = null,
+    )
+    appendAsLeader(EntryPayload.Empty)
+}
+
+internal fun StepScope.appendAsLeader(payload: EntryPayload): LogEntry {
+    val entry = LogEntry(state.lastIndex + 1, state.term, payload)
+    state = state.copy(log = state.log.append(listOf(entry)))
+    persist(DurableWrite.Append(listOf(entry)))
+    return entry
+}
+
+internal fun StepScope.onLeaderTick() {
+    if (!state.membership.isQuorum(reachable())) {
+        follow(state.term, leader = null)
+        return
+    }
+    endOverdueTransfer()
+    handOverFromWitness()
+    promoteReplacement()
+}
+
+/** This replica and the peers that answered within one election timeout. */
+internal fun StepScope.reachable(): Set<ReplicaId> {
+    val leader = leading ?: return emptySet()
+    val since = nowMillis - state.settings.electionTimeoutMaxMillis
+    return leader.peers.filterValues { (it.heardMillis ?: leader.electedMillis) > since }.keys + state.id
+}
+
+/** Ends a batch of a leader: commits, confirms reads and sends what is due. */
+internal fun StepScope.flushLeader() {
+    advanceCommit()
+    val leader = leading ?: return
+    val heartbeatDue = nowMillis >= leader.heartbeatDueMillis
+    if (heartbeatDue) startHeartbeat()
+    confirmReads()
+    val roundStarted = startReadRound(heartbeatDue)
+    confirmReads()
+    val sent = leader.peers.keys.filter { replicate(it) }.toSet()
+    val waiting = if (roundStarted) state.membership.voters - state.id else emptySet()
+    val rest = if (heartbeatDue) leader.peers.keys else waiting
+    (rest - sent).forEach { sendEmpty(it) }
+    completeTransfer(heartbeatDue)
+}
+
+private fun StepScope.startHeartbeat() = updateLeading { leader ->
+    leader.copy(
+        heartbeatDueMillis = nowMillis + state.settings.heartbeatMillis,
+        peers = leader.peers.mapValues { (_, peer) -> peer.copy(waiting = false) }.toPersistentMap(),
+    )
+}
+
+private fun StepScope.advanceCommit() {
+    val leader = leading ?: return
+    val index = state.membership.reachedByQuorum { if (it == state.id) state.lastIndex else leader.matchOf(it) }
+    // Entries of earlier terms are committed only together with one of this term (Raft, section 5.4.2).
+    if (index == null || index < leader.firstIndex) return
+    commitTo(index)
+    if (state.id !in state.committedMembership.voters) leaveAfterRemoval()
+}
+
+private fun Stance.Leader.matchOf(peer: ReplicaId): Long = peers[peer]?.matchIndex ?: 0
+
+private fun StepScope.leaveAfterRemoval() {
+    val successor = state.membership.voters.maxByOrNull { state.peers[it]?.matchIndex ?: 0 }
+    state.peers.keys.forEach { sendEmpty(it) }
+    successor?.let { send(it, ReplicaMessage.TimeoutNow(state.term)) }
+    follow(state.term, leader = null)
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/auburnlever/consensus/MembershipChanges.kt
@@ -0,0 +1,64 @@
+package org.auburnlever.consensus
+
+import kotlinx.collections.immutable.toPersistentMap
+
+internal fun StepScope.onChangeMembership(input: ReplicaInput.ChangeMembership) {
+    val next = state.membership.after(input.change)
+    val refusal = refusalOf(input.change, next)
+    if (refusal != null || next == null) {
+        reject(input.proposalId, refusal ?: RejectionReason.UNKNOWN_REPLICA)
+    } else {
+        accept(input.proposalId, EntryPayload.Members(next))
+        trackPeersOf(next)
+    }
+}
+
+private fun StepScope.refusalOf(change: MembershipChange, next: Membership?): RejectionReason? {
+    val leader = leading
+    return when {
+        leader == null -> RejectionReason.NOT_LEADER
+        leader.transfer != null -> RejectionReason.LEADERSHIP_LOST
+        changePending(leader) -> RejectionReason.CHANGE_PENDING
+        next == null -> RejectionReason.UNKNOWN_REPLICA
+        givesVoteTooEarly(change) -> RejectionReason.NOT_CAUGHT_UP
+        !next.isQuorum(reachable()) -> RejectionReason.WOULD_LOSE_QUORUM
+        else -> null
+    }
+}
+
+// Two leaders could otherwise make different changes whose majorities don't overlap.
+private fun StepScope.changePending(leader: Stance.Leader): Boolean =
+    state.log.newest.index > state.commitIndex || leader.firstIndex > state.commitIndex
+
+private fun StepScope.givesVoteTooEarly(change: MembershipChange): Boolean =
+    change is MembershipChange.Promote && change.replica != state.id && !hasCaughtUp(change.replica)
+
+/** Whether [peer] answers, holds the newest membership and lacks few entries. */
+internal fun StepScope.hasCaughtUp(peer: ReplicaId): Boolean {
+    val progress = state.peers[peer] ?: return false
+    return peer in reachable() &&
+        progress.heardMillis != null &&
+        progress.matchIndex >= state.log.newest.index &&
+        progress.matchIndex >= state.lastIndex - state.settings.catchUpEntries
+}
+
+/** Gives a caught-up learner the role of the replica that it replaced. */
+internal fun StepScope.promoteReplacement() {
+    val leader = leading ?: return
+    if (leader.transfer != null || changePending(leader)) return
+    val ready = state.membership.promotions.entries.firstOrNull { hasCaughtUp(it.key) }
+    val next = ready?.let { (replica, role) -> state.membership.after(MembershipChange.Promote(replica, role)) }
+    if (next != null && next.isQuorum(reachable())) {
+        appendAsLeader(EntryPayload.Members(next))
+        trackPeersOf(next)
+    }
+}
+
+private fun StepScope.trackPeersOf(membership: Membership) = updateLeading { leader ->
+    val others = membership.roles.keys - state.id
+    leader.copy(
+        peers = others.associateWith { peer ->
+            leader.peers[peer] ?: PeerProgress.startingAt(state.lastIndex, ReplicationMode.PROBE)
+        }.toPersistentMap(),
+    )
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/auburnlever/consensus/ReplicaAccessors.kt
@@ -0,0 +1,44 @@
+package org.auburnlever.consensus
+
+/** What the replica currently does. */
+val ReplicaState.activity: ReplicaActivity
+    get() = when (stance) {
+        is Stance.Follower -> ReplicaActivity.FOLLOWER
+        is Stance.PreCandidate -> ReplicaActivity.PRE_CANDIDATE
+        is Stance.Candidate -> ReplicaActivity.CANDIDATE
+        is Stance.Leader -> ReplicaActivity.LEADER
+    }
+
+/** Whether the replica leads; an isolated one may still believe so for one election timeout. */
+val ReplicaState.isLeader: Boolean get() = stance is Stance.Leader
+
+/** The leader of the term, itself included; null if none is known. */
+val ReplicaState.leader: ReplicaId?
+    get() = when (stance) {
+        is Stance.Follower -> stance.leader
+        is Stance.Leader -> id
+        else -> null
+    }
+
+/** The newest membership in the log, committed or not. */
+val ReplicaState.membership: Membership get() = log.newest.membership
+
+/** The newest membership that is known to be committed. */
+val ReplicaState.committedMembership: Membership get() = log.membershipAt(commitIndex).membership
+
+/** The replica's role; null if it is no member and has to be admitted with [MembershipChange.AddLearner]. */
+val ReplicaState.role: ReplicaRole? get() = membership.roles[id]
+
+/** Index of the last entry in the log, committed or not. */
+val ReplicaState.lastIndex: Long get() = log.lastIndex
+
+/** Index up to which a snapshot is stored; 0 without one. */
+val ReplicaState.snapshotIndex: Long get() = snapshot?.lastIndex ?: 0
+
+/** Whether the driver should serialize the state machine and pass [ReplicaInput.SnapshotTaken]. */
+val ReplicaState.snapshotDue: Boolean
+    get() = commitIndex - snapshotIndex >= settings.snapshotAfterEntries ||
+        bytesSinceSnapshot >= settings.snapshotAfterBytes
+
+/** What the leader knows of its peers; empty on other replicas. */
+val ReplicaState.peers: Map<ReplicaId, PeerProgress> get() = (stance as? Stance.Leader)?.peers.orEmpty()
--- a/core/src/main/kotlin/org/auburnlever/consensus/ReplicaEffect.kt
+++ b/core/src/main/kotlin/org/auburnlever/consensus/ReplicaEffect.kt
@@ -35,4 +35,5 @@
     UNKNOWN_REPLICA,
     LEADERSHIP_LOST,
     WOULD_LOSE_QUORUM,
+    TOO_LARGE,
 }
--- a/core/src/main/kotlin/org/auburnlever/consensus/ReplicaId.kt
+++ b/core/src/main/kotlin/org/auburnlever/consensus/ReplicaId.kt
@@ -26,6 +26,14 @@
     LEARNER,
 }
 
-/** The replicas of a group and their roles. */
+/**
+ * The replicas of a group and their roles.
+ *
+ * [promotions] holds the role that a learner gets from the leader once it has caught up: the one of the older
+ * incarnation that it replaced.
+ */
 @Serializable
-data class Membership(val roles: Map<ReplicaId, ReplicaRole>)
+data class Membership(
+    val roles: Map<ReplicaId, ReplicaRole>,
+    val promotions: Map<ReplicaId, ReplicaRole> = emptyMap(),
+)
--- a/core/src/main/kotlin/org/auburnlever/consensus/ReplicaInput.kt
+++ b/core/src/main/kotlin/org/auburnlever/consensus/ReplicaInput.kt
@@ -7,8 +7,16 @@
     /** Time has passed; given at least every 50 ms. */
     data object Tick : ReplicaInput
 
-    /** [message] arrived from [from]. */
-    data class Received(val from: ReplicaId, val message: ReplicaMessage) : ReplicaInput
+    /**
+     * [message] arrived from [from].
+     *
+     * It is ignored if [to] is another incarnation; null means that the driver has checked the address.
+     */
+    data class Received(
+        val from: ReplicaId,
+        val message: ReplicaMessage,
+        val to: ReplicaId? = null,
+    ) : ReplicaInput
 
     /** Ask to append [command]; answered by `ReplicaEffect.Accepted` or `ReplicaEffect.Rejected`. */
     data class Propose(val proposalId: Long, val command: Bytes) : ReplicaInput
--- a/core/src/main/kotlin/org/auburnlever/consensus/ReplicaMessage.kt
+++ b/core/src/main/kotlin/org/auburnlever/consensus/ReplicaMessage.kt
@@ -1,10 +1,103 @@
 package org.auburnlever.consensus
 
+import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
+import org.auburnlever.codec.Bytes
 
 /** Messages between the replicas of a group. */
 @Serializable
 sealed interface ReplicaMessage {
     /** Sender's term. */
     val term: Long
+
+    /** Asks whether a campaign in the term after [term] could be won; changes nothing at the receiver. */
+    @Serializable
+    @SerialName("preVoteRequest")
+    data class PreVoteRequest(override val term: Long, val lastIndex: Long, val lastTerm: Long) : ReplicaMessage
+
+    /** Answers a [PreVoteRequest]. */
+    @Serializable
+    @SerialName("preVoteAnswer")
+    data class PreVoteAnswer(override val term: Long, val granted: Boolean) : ReplicaMessage
+
+    /** Asks for the vote in [term]; [transfer] is set when the leader asked for this campaign. */
+    @Serializable
+    @SerialName("voteRequest")
+    data class VoteRequest(
+        override val term: Long,
+        val lastIndex: Long,
+        val lastTerm: Long,
+        val transfer: Boolean,
+    ) : ReplicaMessage
+
+    /** Answers a [VoteRequest]. */
+    @Serializable
+    @SerialName("voteAnswer")
+    data class VoteAnswer(override val term: Long, val granted: Boolean) : ReplicaMessage
+
+    /**
+     * Entries that follow the one at [previousIndex]; without entries a heartbeat.
+     *
+     * [round] numbers the leader's read confirmations in its term; each answer returns it.
+     */
+    @Serializable
+    @SerialName("append")
+    data class Append(
+        override val term: Long,
+        val previousIndex: Long,
+        val previousTerm: Long,
+        val entries: List<LogEntry>,
+        val commitIndex: Long,
+        val round: Long,
+    ) : ReplicaMessage
+
+    /** The sender's log equals the leader's up to [matchIndex]. */
+    @Serializable
+    @SerialName("appendAccepted")
+    data class AppendAccepted(override val term: Long, val matchIndex: Long, val round: Long) : ReplicaMessage
+
+    /**
+     * The sender has no entry at [previousIndex] with the leader's term.
+     *
+     * [conflictTerm] is the term it has there and [conflictIndex] its first index of that term; without an entry there,
+     * the term is null and the index is the one after its last.
+     */
+    @Serializable
+    @SerialName("appendRejected")
+    data class AppendRejected(
+        override val term: Long,
+        val previousIndex: Long,
+        val conflictIndex: Long,
+        val conflictTerm: Long?,
+        val round: Long,
+    ) : ReplicaMessage
+
+    /** A part of the serialized state machine of a [Snapshot], from [offsetBytes] of [totalBytes] on. */
+    @Serializable
+    @SerialName("snapshotChunk")
+    data class SnapshotChunk(
+        override val term: Long,
+        val lastIndex: Long,
+        val lastTerm: Long,
+        val membership: Membership,
+        val offsetBytes: Int,
+        val totalBytes: Int,
+        val data: Bytes,
+        val round: Long,
+    ) : ReplicaMessage
+
+    /** The sender has the first [receivedBytes] of the snapshot at [lastIndex]. */
+    @Serializable
+    @SerialName("snapshotProgress")
+    data class SnapshotProgress(
+        override val term: Long,
+        val lastIndex: Long,
+        val receivedBytes: Int,
+        val round: Long,
+    ) : ReplicaMessage
+
+    /** The leader hands over: the receiver campaigns immediately. */
+    @Serializable
+    @SerialName("timeoutNow")
+    data class TimeoutNow(override val term: Long) : ReplicaMessage
 }
--- /dev/null
+++ b/core/src/main/kotlin/org/auburnlever/consensus/ReplicaState.kt
@@ -0,0 +1,68 @@
+package org.auburnlever.consensus
+
+/**
+ * One replica of a group's log: a value that [step] maps to the next one.
+ *
+ * Start it with [startReplica]. The driver keeps the newest value, passes inputs to [step] or [stepAll] and carries out
+ * the effects; see [ReplicaEffect] for their order.
+ *
+ * @property term newest term the replica knows
+ * @property commitIndex last entry known to be on a majority; entries up to here have been handed out to apply
+ */
+@ConsistentCopyVisibility
+data class ReplicaState internal constructor(
+    val id: ReplicaId,
+    val settings: ReplicaSettings,
+    val term: Long,
+    val commitIndex: Long,
+    internal val votedFor: ReplicaId?,
+    internal val log: ReplicaLog,
+    internal val snapshot: Snapshot?,
+    internal val stance: Stance,
+    internal val timer: ElectionTimer,
+    internal val incoming: IncomingSnapshot?,
+    internal val bytesSinceSnapshot: Long,
+)
+
+/** When a replica campaigns, and when it last heard from a leader. */
+internal data class ElectionTimer(
+    val randomState: Long,
+    val deadlineMillis: Long,
+    val leaderHeardMillis: Long?,
+)
+
+/** State of a replica after a step, and what the driver must do. */
+data class ReplicaStep(val state: ReplicaState, val effects: List<ReplicaEffect>)
+
+/**
+ * Starts the replica [id] from what its disk holds.
+ *
+ * [initial] is the membership of a new group; it is used only if [recovered] holds none. It must name the incarnations
+ * that were formatted: a replica with a newer incarnation is then no member, and does not vote until it is admitted.
+ * The step restores the recovered snapshot; entries after it are applied once a leader confirms them.
+ */
+fun startReplica(
+    id: ReplicaId,
+    recovered: RecoveredLog,
+    initial: Membership,
+    settings: ReplicaSettings,
+    nowMillis: Long,
+): ReplicaStep {
+    val state = ReplicaState(
+        id = id,
+        settings = settings,
+        term = recovered.term,
+        commitIndex = recovered.snapshot?.lastIndex ?: 0,
+        votedFor = recovered.votedFor,
+        log = ReplicaLog.after(recovered.snapshot, initial).append(recovered.entries),
+        snapshot = recovered.snapshot,
+        stance = Stance.Follower(leader = null),
+        timer = ElectionTimer(settings.seed, nowMillis, leaderHeardMillis = null),
+        incoming = null,
+        bytesSinceSnapshot = 0,
+    )
+    val scope = StepScope(state, nowMillis)
+    scope.restartElectionTimer()
+    recovered.snapshot?.let { scope.emit(ReplicaEffect.Restore(it)) }
+    return scope.finish(state)
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/auburnlever/consensus/Stance.kt
@@ -0,0 +1,40 @@
+package org.auburnlever.consensus
+
+import kotlinx.collections.immutable.PersistentList
+import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.PersistentSet
+
+/** What a replica currently does in its term. */
+internal sealed interface Stance {
+    /** Follows [leader], or waits for one. */
+    data class Follower(val leader: ReplicaId?) : Stance
+
+    /** Asks whether it could win an election. */
+    data class PreCandidate(val granted: PersistentSet<ReplicaId>) : Stance
+
+    /** Collects votes. */
+    data class Candidate(val granted: PersistentSet<ReplicaId>) : Stance
+
+    /**
+     * Leads the group.
+     *
+     * [roundSent] is the newest read round that messages carry, [roundConfirmed] the newest that a majority answered.
+     */
+    data class Leader(
+        val electedMillis: Long,
+        val firstIndex: Long,
+        val peers: PersistentMap<ReplicaId, PeerProgress>,
+        val reads: PersistentList<PendingRead>,
+        val roundSent: Long,
+        val roundConfirmed: Long,
+        val heartbeatDueMillis: Long,
+        val transfer: Transfer?,
+        val nextHandOverMillis: Long,
+    ) : Stance
+}
+
+/** A read that waits for a majority to answer [round]. */
+internal data class PendingRead(val readId: Long, val round: Long)
+
+/** A leadership transfer that is given up at [deadlineMillis]; [told] once the target was asked to campaign. */
+internal data class Transfer(val to: ReplicaId, val deadlineMillis: Long, val told: Boolean)
--- /dev/null
+++ b/core/src/main/kotlin/org/auburnlever/consensus/StepScope.kt
@@ -0,0 +1,58 @@
+package org.auburnlever.consensus
+
+/** Collects the next state and the effects while a replica handles a batch of inputs. */
+internal class StepScope(var state: ReplicaState, val nowMillis: Long) {
+    private val writes = mutableListOf<DurableWrite>()
+    private val effects = mutableListOf<ReplicaEffect>()
+
+    val leading: Stance.Leader? get() = state.stance as? Stance.Leader
+
+    fun emit(effect: ReplicaEffect) {
+        effects += effect
+    }
+
+    fun persist(write: DurableWrite) {
+        writes += write
+    }
+
+    fun send(to: ReplicaId, message: ReplicaMessage) = emit(ReplicaEffect.Send(to, message))
+
+    fun reject(proposalId: Long, reason: RejectionReason) =
+        emit(ReplicaEffect.Rejected(proposalId, reason, state.leader))
+
+    fun updateLeading(change: (Stance.Leader) -> Stance.Leader) {
+        leading?.let { state = state.copy(stance = change(it)) }
+    }
+
+    fun updatePeer(peer: ReplicaId, change: (PeerProgress) -> PeerProgress) = updateLeading { leader ->
+        leader.peers[peer]?.let { leader.copy(peers = leader.peers.put(peer, change(it))) } ?: leader
+    }
+
+    /** Ends the batch that began in state [before]. */
+    fun finish(before: ReplicaState): ReplicaStep {
+        val newLeader = state.leader
+        if (newLeader != before.leader || newLeader != null && state.term != before.term) {
+            emit(ReplicaEffect.LeaderChanged(newLeader, state.term))
+        }
+        return ReplicaStep(state, mergedWrites().map { ReplicaEffect.Persist(it) } + effects)
+    }
+
+    // Joins appends that follow each other into one record. Order matters only among appends and snapshots.
+    private fun mergedWrites(): List<DurableWrite> {
+        val merged = mutableListOf<DurableWrite>()
+        val run = mutableListOf<LogEntry>()
+        for (write in writes.filter { it !is DurableWrite.Vote }) {
+            if (write !is DurableWrite.Append || run.lastOrNull()?.index != write.entries.first().index - 1) {
+                merged.addRun(run)
+            }
+            if (write is DurableWrite.Append) run += write.entries else merged += write
+        }
+        merged.addRun(run)
+        return listOfNotNull(writes.lastOrNull { it is DurableWrite.Vote }) + merged
+    }
+
+    private fun MutableList<DurableWrite>.addRun(run: MutableList<LogEntry>) {
+        if (run.isNotEmpty()) add(DurableWrite.Append(run.toList()))
+        run.clear()
+    }
+}
--- /dev/null
+++ b/node/src/main/kotlin/org/auburnlever/storage/Frames.kt
@@ -0,0 +1,58 @@
+package org.auburnlever.storage
+
+import java.nio.ByteBuffer
+import java.nio.file.Path
+import java.util.zip.CRC32C
+
+// Length of the payload, checksum of the payload, checksum of both.
+private const val HEADER_BYTES = 3 * Int.SIZE_BYTES
+private const val CHECKED_HEADER_BYTES = 2 * Int.SIZE_BYTES
+
+/** Payloads read from a file; the file is valid up to [validBytes], which is less than its size after a torn write. */
+internal data class ReadFrames(val payloads: List<ByteArray>, val validBytes: Long)
+
+/** [payload] with its length and CRC32C checksums. */
+internal fun frameOf(payload: ByteArray): ByteArray {
+    val frame = ByteBuffer.allocate(HEADER_BYTES + payload.size)
+    frame.putInt(payload.size).putInt(checksum(payload, 0, payload.size))
+    frame.putInt(checksum(frame.array(), 0, CHECKED_HEADER_BYTES))
+    return frame.put(payload).array()
+}
+
+/**
+ * Reads the frames in [bytes], the content of [file].
+ *
+ * A damaged frame that no valid one follows is a write that did not finish; with [mayBeTorn] it ends the result. Any
+ * other damage is an error, since it concerns data that was synced.
+ */
+internal fun readFrames(file: Path, bytes: ByteArray, mayBeTorn: Boolean): ReadFrames {
+    val payloads = mutableListOf<ByteArray>()
+    var offset = 0
+    while (offset < bytes.size) {
+        val payload = payloadAt(bytes, offset) ?: break
+        payloads += payload
+        offset += HEADER_BYTES + payload.size
+    }
+    if (offset < bytes.size && !(mayBeTorn && noFrameAfter(bytes, offset))) {
+        throw corrupt(file, offset.toLong(), "length or checksum of the record is wrong")
+    }
+    return ReadFrames(payloads, offset.toLong())
+}
+
+private fun noFrameAfter(bytes: ByteArray, offset: Int): Boolean =
+    (offset + 1..bytes.size - HEADER_BYTES).none { payloadAt(bytes, it) != null }
+
+private fun payloadAt(bytes: ByteArray, offset: Int): ByteArray? {
+    if (bytes.size - offset < HEADER_BYTES) return null
+    val header = ByteBuffer.wrap(bytes, offset, HEADER_BYTES)
+    val size = header.getInt()
+    val payloadChecksum = header.getInt()
+    val start = offset + HEADER_BYTES
+    val valid = size in 0..bytes.size - start &&
+        header.getInt() == checksum(bytes, offset, CHECKED_HEADER_BYTES) &&
+        payloadChecksum == checksum(bytes, start, size)
+    return if (valid) bytes.copyOfRange(start, start + size) else null
+}
+
+private fun checksum(bytes: ByteArray, offset: Int, size: Int): Int =
+    CRC32C().apply { update(bytes, offset, size) }.value.toInt()
--- /dev/null
+++ b/node/src/main/kotlin/org/auburnlever/storage/LogStore.kt
@@ -0,0 +1,156 @@
+package org.auburnlever.storage
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.getOrElse
+import com.github.michaelbull.result.onFailure
+import org.auburnlever.consensus.DurableWrite
+import org.auburnlever.consensus.RecoveredLog
+import org.auburnlever.consensus.ReplicaId
+import org.auburnlever.consensus.Snapshot
+import org.auburnlever.world.HostName
+import java.nio.file.Path
+
+// Bounds what a restart reads into memory at once; snapshots usually begin a new segment long before.
+private const val MAX_SEGMENT_BYTES = 8L * 1_024 * 1_024
+
+/** An opened folder: the replica it holds and what the replica stored. */
+data class OpenedLog(val store: LogStore, val replica: ReplicaId, val recovered: RecoveredLog)
+
+/**
+ * Durable storage of one replica, in a folder of its own.
+ *
+ * Not safe for use by several threads. After a failed [write] the store refuses all others, since a failed sync leaves
+ * open what is on the disk.
+ *
+ * ```
+ * LogStore.format(folder, host)
+ * LogStore.open(folder, host).onSuccess { opened -> opened.store.write(listOf(DurableWrite.Vote(1, null))) }
+ * ```
+ */
+class LogStore private constructor(
+    private val files: LogFiles,
+    private val disk: Disk,
+    private val lock: FolderLock,
+    private val image: LogImage,
+    private var segment: SegmentFile,
+) : AutoCloseable {
+    private var output: AppendFile = disk.open(segment.file)
+    private var failure: StorageError? = null
+
+    /** Size of the segment that is being written. */
+    val segmentBytes: Long get() = output.sizeBytes
+
+    /** Stores [writes] in order; returns once they are synced, with one sync unless a snapshot is among them. */
+    fun write(writes: List<DurableWrite>): Result<Unit, StorageError> {
+        failure?.let { return Err(StorageError.Unusable(it)) }
+        return storing(files.folder) { store(writes) }.onFailure { failure = it }
+    }
+
+    override fun close() {
+        output.close()
+        lock.close()
+    }
+
+    private fun store(writes: List<DurableWrite>) {
+        val pending = mutableListOf<DurableWrite>()
+        for (write in writes) {
+            image.apply(write)
+            if (write is DurableWrite.Install) {
+                // The new segment holds the image with the pending writes, so they need no record of their own.
+                pending.clear()
+                install(write.snapshot)
+            } else {
+                pending += write
+            }
+        }
+        if (pending.isNotEmpty()) append(pending)
+    }
+
+    private fun append(writes: List<DurableWrite>) {
+        if (output.sizeBytes >= MAX_SEGMENT_BYTES) {
+            beginSegment(files.segment(segment.snapshotIndex, segment.sequence + 1), ByteArray(0))
+        }
+        output.append(encodeRecord(writes))
+        output.sync()
+    }
+
+    private fun install(snapshot: Snapshot) {
+        disk.createWhole(files.snapshot(snapshot.lastIndex).file, encodeRecord(snapshot))
+        continueAfterSnapshot()
+    }
+
+    private fun continueAfterSnapshot() {
+        beginSegment(files.segment(image.snapshotIndex, sequence = 0), encodeRecord(image.toWrites()))
+        files.removeBefore(image.snapshotIndex)
+    }
+
+    private fun beginSegment(next: SegmentFile, content: ByteArray) {
+        disk.createWhole(next.file, content)
+        output.close()
+        segment = next
+        output = disk.open(next.file)
+    }
+
+    companion object {
+        /** Makes [folder] the first copy of a replica of [host], with incarnation 1. */
+        fun format(folder: Path, host: HostName, disk: Disk = SystemDisk): Result<ReplicaId, StorageError> =
+            storing(folder) {
+                FolderLock.take(folder).use {
+                    if (readIdentity(folder, host) != null || LogFiles(folder).holdLog()) {
+                        throw StorageException(StorageError.AlreadyFormatted(folder))
+                    }
+                    create(folder, ReplicaIdentity.first(host), disk).replica
+                }
+            }
+
+        /**
+         * Opens the copy in [folder].
+         *
+         * A folder that was not formatted is treated as a lost disk: it gets an incarnation from [incarnations].
+         */
+        fun open(
+            folder: Path,
+            host: HostName,
+            disk: Disk = SystemDisk,
+            incarnations: () -> Long = ::newIncarnation,
+        ): Result<OpenedLog, StorageError> = storing(folder) {
+            val lock = FolderLock.take(folder)
+            storing(folder) { openLocked(folder, host, disk, lock, incarnations) }
+                .getOrElse {
+                    lock.close()
+                    throw StorageException(it)
+                }
+        }
+
+        private fun openLocked(
+            folder: Path,
+            host: HostName,
+            disk: Disk,
+            lock: FolderLock,
+            incarnations: () -> Long,
+        ): OpenedLog {
+            val files = LogFiles(folder)
+            val identity = readIdentity(folder, host)
+                ?: createAfterLoss(files, ReplicaIdentity.afterLostDisk(host, incarnations()), disk)
+            val (snapshot, image, newest) = files.recover()
+            val store = LogStore(files, disk, lock, image, newest)
+            if (newest.snapshotIndex < image.snapshotIndex) store.continueAfterSnapshot()
+            files.removeBefore(image.snapshotIndex)
+            val recovered = RecoveredLog(image.term, image.votedFor, snapshot, image.entries.toList())
+            return OpenedLog(store, identity.replica, recovered)
+        }
+
+        private fun createAfterLoss(files: LogFiles, identity: ReplicaIdentity, disk: Disk): ReplicaIdentity {
+            if (files.holdLog()) throw corrupt(files.folder, 0, "there is a log, but no identity file")
+            return create(files.folder, identity, disk)
+        }
+
+        // The segment comes first: an identity without a segment then means that the log was removed.
+        private fun create(folder: Path, identity: ReplicaIdentity, disk: Disk): ReplicaIdentity {
+            disk.createWhole(LogFiles(folder).segment(snapshotIndex = 0, sequence = 0).file, ByteArray(0))
+            disk.writeIdentity(folder, identity)
+            return identity
+        }
+    }
+}
--- /dev/null
+++ b/node/src/main/kotlin/org/auburnlever/storage/Records.kt
@@ -0,0 +1,24 @@
+package org.auburnlever.storage
+
+import kotlinx.serialization.ExperimentalSerializationApi
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.decodeFromByteArray
+import kotlinx.serialization.encodeToByteArray
+import org.auburnlever.codec.Codec
+import java.nio.file.Path
+
+/** Encodes [value] as one frame. */
+@OptIn(ExperimentalSerializationApi::class)
+internal inline fun <reified T> encodeRecord(value: T): ByteArray = frameOf(Codec.cbor.encodeToByteArray(value))
+
+/** Decodes the value of a [file] that holds exactly one frame. */
+internal inline fun <reified T> decodeRecord(file: Path, frames: ReadFrames): T =
+    decodePayload(file, frames.payloads.singleOrNull() ?: throw corrupt(file, 0, "one record expected"))
+
+/** Decodes one [payload] of [file]. */
+@OptIn(ExperimentalSerializationApi::class)
+internal inline fun <reified T> decodePayload(file: Path, payload: ByteArray): T = try {
+    Codec.cbor.decodeFromByteArray(payload)
+} catch (failure: SerializationException) {
+    throw corrupt(file, 0, "record can't be decoded: ${failure.message}").apply { initCause(failure) }
+}
--- /dev/null
+++ b/node/src/main/kotlin/org/auburnlever/storage/RecoveredFiles.kt
@@ -0,0 +1,61 @@
+package org.auburnlever.storage
+
+import org.auburnlever.consensus.DurableWrite
+import org.auburnlever.consensus.Snapshot
+import java.nio.channels.FileChannel
+import java.nio.file.Files
+import java.nio.file.StandardOpenOption
+
+/** What a folder holds: the snapshot, the image of the log after it, and the segment to continue. */
+internal data class RecoveredFiles(val snapshot: Snapshot?, val image: LogImage, val newest: SegmentFile)
+
+/** Reads the newest snapshot and the segments that follow it, and cuts off a torn write at the end of the last one. */
+internal fun LogFiles.recover(): RecoveredFiles {
+    val snapshot = snapshots().lastOrNull()?.let { readSnapshot(it) }
+    val snapshotIndex = snapshot?.lastIndex ?: 0
+    val chain = newestChain(snapshotIndex)
+    val image = LogImage(chain.last().snapshotIndex)
+    chain.forEach { replay(it, image, isLast = it == chain.last()) }
+    // The process stopped after it stored the snapshot and before it began the segment that follows it.
+    if (snapshot != null && image.snapshotIndex < snapshotIndex) image.install(snapshotIndex, snapshot.lastTerm)
+    return RecoveredFiles(snapshot, image, chain.last())
+}
+
+private fun LogFiles.newestChain(snapshotIndex: Long): List<SegmentFile> {
+    val newestIndex = segments().lastOrNull()?.snapshotIndex ?: snapshotIndex
+    val chain = segments().filter { it.snapshotIndex == newestIndex }
+    val complete = (0..maxOf(0, chain.lastIndex)).map { segment(newestIndex, it.toLong()) }
+    val missingSegment = complete.firstOrNull { it !in chain }?.file
+    val missing = if (newestIndex > snapshotIndex) snapshot(newestIndex).file else missingSegment
+    if (missing != null) throw corrupt(missing, 0, "the file is missing")
+    return chain
+}
+
+private fun readSnapshot(file: SnapshotFile): Snapshot {
+    val frames = readFrames(file.file, Files.readAllBytes(file.file), mayBeTorn = false)
+    val snapshot = decodeRecord<Snapshot>(file.file, frames)
+    if (snapshot.lastIndex != file.lastIndex) throw corrupt(file.file, 0, "it ends at index ${snapshot.lastIndex}")
+    return snapshot
+}
+
+private fun replay(segment: SegmentFile, image: LogImage, isLast: Boolean) {
+    val bytes = Files.readAllBytes(segment.file)
+    val frames = readFrames(segment.file, bytes, mayBeTorn = isLast)
+    var offset = 0L
+    for (payload in frames.payloads) {
+        val writes = decodePayload<List<DurableWrite>>(segment.file, payload)
+        try {
+            writes.forEach(image::apply)
+        } catch (failure: IllegalArgumentException) {
+            throw corrupt(segment.file, offset, failure.message.orEmpty()).apply { initCause(failure) }
+        }
+        offset += frameOf(payload).size
+    }
+    if (frames.validBytes < bytes.size) truncate(segment, frames.validBytes)
+}
+
+private fun truncate(segment: SegmentFile, sizeBytes: Long) =
+    FileChannel.open(segment.file, StandardOpenOption.WRITE).use {
+        it.truncate(sizeBytes)
+        it.force(true)
+    }
--- /dev/null
+++ b/node/src/test/kotlin/org/auburnlever/storage/LogStoreTest.kt
@@ -0,0 +1,205 @@
+package org.auburnlever.storage
+
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.getError
+import com.github.michaelbull.result.getOrElse
+import org.auburnlever.codec.Bytes
+import org.auburnlever.consensus.DurableWrite
+import org.auburnlever.consensus.EntryPayload
+import org.auburnlever.consensus.LogEntry
+import org.auburnlever.consensus.Membership
+import org.auburnlever.consensus.RecoveredLog
+import org.auburnlever.consensus.ReplicaId
+import org.auburnlever.consensus.ReplicaRole
+import org.auburnlever.consensus.Snapshot
+import org.auburnlever.world.HostName
+import org.junit.jupiter.api.io.TempDir
+import java.io.IOException
+import java.nio.file.Files
+import java.nio.file.Path
+import kotlin.io.path.listDirectoryEntries
+import kotlin.io.path.name
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertIs
+import kotlin.test.assertTrue
+
+class LogStoreTest {
+    @TempDir
+    lateinit var folder: Path
+
+    private val host = HostName("thies-a-1")
+    private val replica = ReplicaId(host, incarnation = 1)
+    private val vote = DurableWrite.Vote(3, replica)
+
+    /** Guards against entries, votes or truncations that are lost by a restart. */
+    @Test
+    fun `a reopened store returns what was written`() {
+        format()
+        val truncating = DurableWrite.Append(listOf(entry(2, term = 3)))
+        opened { assertEquals(Ok(Unit), it.store.write(listOf(vote, append(1..3), truncating))) }
+        assertEquals(RecoveredLog(3, replica, null, listOf(entry(1), entry(2, term = 3))), recovered())
+    }
+
+    /** Guards against a full restart that reads entries twice or not at all after many snapshots. */
+    @Test
+    fun `after hundreds of batches and snapshots the newest state is read and old files are gone`() {
+        format()
+        opened { opened ->
+            opened.store.write(listOf(vote))
+            for (index in 1..600) {
+                opened.store.write(listOf(append(index..index)))
+                if (index % 100 == 50) opened.store.write(listOf(DurableWrite.Install(snapshot(index - 2L))))
+            }
+        }
+        val expected = RecoveredLog(3, replica, snapshot(548), (549..600).map { entry(it.toLong()) })
+        assertEquals(expected, recovered())
+        assertEquals(1, files("log-").size)
+        assertEquals(1, files("snapshot-").size)
+    }
+
+    /** Guards against stale entries of another history that follow a snapshot received from the leader. */
+    @Test
+    fun `a snapshot of another history drops the stored entries`() {
+        format()
+        opened { it.store.write(listOf(append(1..9))) }
+        opened { it.store.write(listOf(DurableWrite.Install(snapshot(5).copy(lastTerm = 2)))) }
+        assertEquals(emptyList(), recovered().entries)
+    }
+
+    /** Guards against a crash between the snapshot and the segment that follows it. */
+    @Test
+    fun `a snapshot without its segment is combined with the older segment`() {
+        format()
+        opened { it.store.write(listOf(vote, append(1..9))) }
+        SystemDisk.createWhole(LogFiles(folder).snapshot(5).file, encodeRecord(snapshot(5)))
+        repeat(2) { assertEquals(RecoveredLog(3, replica, snapshot(5), (6L..9L).map { entry(it) }), recovered()) }
+        assertTrue(files("log-").single().name.contains("5-"))
+    }
+
+    /** Guards against a start that fails, or returns half a record, after a crash in the middle of a write. */
+    @Test
+    fun `a torn last record is cut off at every length`() {
+        format()
+        opened { it.store.write(listOf(append(1..1))) }
+        val segment = files("log-").single()
+        val complete = Files.readAllBytes(segment)
+        opened { it.store.write(listOf(append(2..2))) }
+        val longer = Files.readAllBytes(segment)
+        for (size in complete.size until longer.size) {
+            Files.write(segment, longer.copyOf(size))
+            assertEquals(listOf(entry(1)), recovered().entries, "file of $size bytes")
+            assertEquals(complete.size.toLong(), Files.size(segment))
+        }
+        opened { it.store.write(listOf(append(2..2))) }
+        assertEquals(listOf(entry(1), entry(2)), recovered().entries)
+    }
+
+    /** Guards against synced entries that are dropped silently because an earlier record is damaged. */
+    @Test
+    fun `damage before the last record stops the start with file and offset`() {
+        format()
+        opened { opened -> (1..3).forEach { opened.store.write(listOf(append(it..it))) } }
+        val segment = files("log-").single()
+        val intact = Files.readAllBytes(segment)
+        val recordBytes = intact.size / 3
+        for (position in 0 until 2 * recordBytes) {
+            Files.write(segment, intact.copyOf().also { it[position] = (it[position] + 1).toByte() })
+            val error = assertIs<StorageError.Corrupt>(open().getError(), "byte $position")
+            assertEquals(segment, error.file)
+            assertEquals((position / recordBytes * recordBytes).toLong(), error.offsetBytes)
+        }
+    }
+
+    /** Guards against a removed file that looks like an empty log, which would return a vote already given. */
+    @Test
+    fun `missing files stop the start`() {
+        format()
+        opened { it.store.write(listOf(vote, append(1..9), DurableWrite.Install(snapshot(5)))) }
+        val names = listOf("log-", "snapshot-", "identity")
+        for (file in names.map { files(it).single() }) {
+            val content = Files.readAllBytes(file)
+            Files.delete(file)
+            assertIs<StorageError.Corrupt>(open().getError(), "without $file")
+            Files.write(file, content)
+        }
+        assertEquals(4, recovered().entries.size)
+    }
+
+    /** Guards against a lost disk that returns with the identity of the old copy. */
+    @Test
+    fun `an empty folder without format gets a new incarnation and keeps it`() {
+        val first = opened { it.replica }
+        assertTrue(first.incarnation > 1)
+        assertEquals(first, opened { it.replica })
+        assertIs<StorageError.AlreadyFormatted>(LogStore.format(folder, host).getError())
+    }
+
+    /** Guards against two processes that append to the same segment. */
+    @Test
+    fun `a folder is opened once, and only for its host`() {
+        format()
+        opened { assertEquals(StorageError.FolderLocked(folder), open().getError()) }
+        assertIs<StorageError.WrongHost>(LogStore.open(folder, HostName("other")).getError())
+        assertEquals(replica, opened { it.replica })
+    }
+
+    /** Guards against a store that goes on after a failed write and acknowledges what is not on the disk. */
+    @Test
+    fun `a full disk and a failed sync are errors, after which nothing is written`() {
+        val cases = mapOf(
+            FailingDisk(failAppends = true, "No space left on device") to StorageError.DiskFull(folder),
+            FailingDisk(failAppends = false, "Input/output error") to
+                StorageError.AccessFailed(folder, "IOException: Input/output error"),
+        )
+        format()
+        for ((disk, expected) in cases) {
+            val opened = LogStore.open(folder, host, disk).getOrElse { error(it.message) }
+            opened.store.use { store ->
+                disk.failing = true
+                assertEquals(expected, store.write(listOf(vote)).getError())
+                disk.failing = false
+                assertEquals(StorageError.Unusable(expected), store.write(listOf(vote)).getError())
+            }
+        }
+    }
+
+    private fun format() = assertEquals(Ok(replica), LogStore.format(folder, host))
+
+    private fun open() = LogStore.open(folder, host)
+
+    private fun <T> opened(block: (OpenedLog) -> T): T {
+        val opened = open().getOrElse { error(it.message) }
+        return opened.store.use { block(opened) }
+    }
+
+    private fun recovered(): RecoveredLog = opened { it.recovered }
+
+    private fun files(prefix: String): List<Path> = folder.listDirectoryEntries("$prefix*")
+
+    private fun entry(index: Long, term: Long = 1) = LogEntry(index, term, EntryPayload.Command(Bytes.of("c$index")))
+
+    private fun append(indices: IntRange) = DurableWrite.Append(indices.map { entry(it.toLong()) })
+
+    private fun snapshot(lastIndex: Long) =
+        Snapshot(lastIndex, 1, Membership(mapOf(replica to ReplicaRole.VOTER)), Bytes.of("state at $lastIndex"))
+}
+
+/** Fails to append or to sync while [failing]. */
+private class FailingDisk(private val failAppends: Boolean, private val message: String) : Disk {
+    var failing = false
+
+    override fun open(file: Path): AppendFile {
+        val delegate = SystemDisk.open(file)
+        return object : AppendFile by delegate {
+            override fun append(bytes: ByteArray) = failIf(failAppends) { delegate.append(bytes) }
+
+            override fun sync() = failIf(!failAppends) { delegate.sync() }
+        }
+    }
+
+    private fun failIf(affected: Boolean, action: () -> Unit) {
+        if (failing && affected) throw IOException(message)
+        action()
+    }
+}
