--- /dev/null
+++ b/core/src/main/kotlin/org/auburnlever/ledger/Apply.kt
@@ -0,0 +1,25 @@
+package org.auburnlever.ledger
+
+/**
+ * Applies [command], which stands at [index] of the log and was stamped with [nowMillis] by the leader.
+ *
+ * Deterministic: equal states and arguments give equal results on every replica. Due deadlines take effect first.
+ */
+fun LedgerState.apply(command: LedgerCommand, index: Long, nowMillis: Long): LedgerApplied {
+    val transition = Transition(copy(timeMillis = maxOf(timeMillis, nowMillis), lastIndex = index), index)
+    transition.passDeadlines()
+    val reply = transition.execute(command)
+    return LedgerApplied(transition.state, reply, transition.events)
+}
+
+private fun Transition.execute(command: LedgerCommand): LedgerReply = when (command) {
+    is LedgerCommand.Claim -> claim(command)
+    is LedgerCommand.RecordOutcome -> recordOutcome(command)
+    is LedgerCommand.SubmitJob -> submitJob(command)
+    is LedgerCommand.CancelJob -> cancelJob(command)
+    is LedgerCommand.WorkerSeen -> workerSeen(command.heartbeat)
+    is LedgerCommand.WorkerLost -> workerLost(command)
+    is LedgerCommand.TasksReported -> tasksReported(command)
+    is LedgerCommand.Schedule -> runSchedule(command.actions)
+    LedgerCommand.TimePassed -> LedgerReply.Done
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/auburnlever/ledger/ApplyClaims.kt
@@ -0,0 +1,80 @@
+package org.auburnlever.ledger
+
+import org.auburnlever.wire.ErrorCode
+import org.auburnlever.wire.Outcome
+
+private const val KEY_LIFETIME_MILLIS = 24 * 3_600_000L
+private const val KEY_RETENTION_MILLIS = 25 * 3_600_000L
+private const val KEY_FUTURE_MILLIS = 300_000L
+private const val CLAIM_GRACE_MILLIS = 1_000L
+
+/** Bounds the ledger's memory under the process limit of 128 MB; a claim without an answer takes about 400 bytes. */
+private const val MAX_CLAIMS = 50_000
+
+/** Refuses a key that is malformed, too old or from the future; null when it may be used for the first time. */
+internal fun Transition.refuseKey(key: RequestKey): LedgerReply? {
+    val parsed = CallerKey.parse(key.key)
+    val ageMillis = nowMillis - (parsed?.issuedMillis ?: 0)
+    return when {
+        parsed == null -> refused(ErrorCode.BAD_REQUEST, "key must be [<domain>~]<unix seconds>-<text>")
+        ageMillis >= KEY_LIFETIME_MILLIS ->
+            LedgerReply.Rejected(Outcome.Unknown(ErrorCode.KEY_EXPIRED, "key was issued more than 24 h ago"))
+        ageMillis < -KEY_FUTURE_MILLIS ->
+            refused(ErrorCode.KEY_IN_FUTURE, "key is dated more than 5 min in the future")
+        else -> null
+    }
+}
+
+/** Schedules the removal of the records of [key], which must follow the grammar. */
+internal fun Transition.retainKey(key: RequestKey) {
+    val issuedMillis = checkNotNull(CallerKey.parse(key.key)).issuedMillis
+    val item = DueItem.KeyExpiry(key)
+    state = state.copy(retention = state.retention.add(item, issuedMillis + KEY_RETENTION_MILLIS))
+}
+
+internal fun Transition.claim(command: LedgerCommand.Claim): LedgerReply {
+    val existing = state.claims.all[command.key]
+    return if (existing == null) firstClaim(command) else repeatedClaim(command, existing)
+}
+
+private fun Transition.firstClaim(command: LedgerCommand.Claim): LedgerReply {
+    val refusal = when {
+        command.timeoutMillis !in 1..KEY_LIFETIME_MILLIS -> refused(ErrorCode.BAD_REQUEST, "timeout is out of range")
+        state.claims.all.size >= MAX_CLAIMS -> refused(ErrorCode.OVERLOADED, "the ledger holds $MAX_CLAIMS claims")
+        else -> refuseKey(command.key)
+    }
+    if (refusal == null) retainKey(command.key)
+    return refusal ?: grant(command, attempt = 1)
+}
+
+private fun Transition.repeatedClaim(command: LedgerCommand.Claim, existing: ClaimRecord): LedgerReply = when {
+    existing.bodySha256Hex != command.bodySha256Hex ->
+        refused(ErrorCode.KEY_REUSED, "the key belongs to another body")
+    existing.outcome is Outcome.Refused && existing.claimId != command.claimId ->
+        refuseKey(command.key) ?: grant(command, existing.attempt + 1)
+    existing.outcome == null && existing.claimId == command.claimId -> LedgerReply.ClaimGranted(existing.attempt)
+    else -> LedgerReply.ClaimExists(existing.purpose, existing.outcome)
+}
+
+private fun Transition.grant(command: LedgerCommand.Claim, attempt: Int): LedgerReply {
+    val deadlineMillis = nowMillis + command.timeoutMillis
+    val record = ClaimRecord(
+        bodySha256Hex = command.bodySha256Hex,
+        purpose = command.purpose,
+        claimId = command.claimId,
+        entryHost = command.entryHost,
+        attempt = attempt,
+        deadlineMillis = deadlineMillis,
+        issuedMillis = checkNotNull(CallerKey.parse(command.key.key)).issuedMillis,
+    )
+    putClaim(command.key, record)
+    if (command.purpose is ClaimPurpose.Request) {
+        schedule(DueItem.ClaimDeadline(command.key, command.claimId), deadlineMillis + CLAIM_GRACE_MILLIS)
+    }
+    events += LedgerEvent.ClaimGranted(command.key, attempt)
+    return LedgerReply.ClaimGranted(attempt)
+}
+
+internal fun Transition.putClaim(key: RequestKey, record: ClaimRecord) {
+    state = state.copy(claims = state.claims.copy(all = state.claims.all.put(key, record)))
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/auburnlever/ledger/ApplyJobs.kt
@@ -0,0 +1,101 @@
+package org.auburnlever.ledger
+
+import org.auburnlever.placement.describe
+import org.auburnlever.placement.largestPossible
+import org.auburnlever.wire.ErrorCode
+import org.auburnlever.wire.JobPhase
+import org.auburnlever.wire.JobSpec
+import org.auburnlever.wire.Outcome
+import org.auburnlever.world.Shape
+
+private const val MAX_TASKS = 1_024
+private const val MAX_PAYLOAD_CHARS = 65_536
+
+/** Bounds the state; the queue of the target deployment holds a few hundred jobs. */
+private const val MAX_WAITING_JOBS = 20_000
+
+internal fun Transition.submitJob(command: LedgerCommand.SubmitJob): LedgerReply {
+    val known = state.jobs.keys[command.key]
+    return when {
+        known == null -> firstSubmission(command)
+        known.bodySha256Hex != command.bodySha256Hex ->
+            refused(ErrorCode.KEY_REUSED, "the key belongs to another body")
+        else -> jobReply(known.jobId)
+    }
+}
+
+internal fun Transition.jobReply(jobId: String): LedgerReply = job(jobId)?.let { LedgerReply.Job(state.view(it)) }
+    ?: LedgerReply.Rejected(Outcome.Unknown(ErrorCode.KEY_EXPIRED, "job $jobId ended and its record was removed"))
+
+private fun Transition.firstSubmission(command: LedgerCommand.SubmitJob): LedgerReply {
+    val refusal = refuseKey(command.key) ?: refuseSpec(command)
+    return if (refusal == null) {
+        enqueue(command)
+    } else {
+        noteRefusal(command, refusal)
+        refusal
+    }
+}
+
+private fun Transition.noteRefusal(command: LedgerCommand.SubmitJob, refusal: LedgerReply) {
+    val outcome = (refusal as? LedgerReply.Rejected)?.refusal
+    val message = (outcome as? Outcome.Refused)?.message ?: "key expired"
+    note(DecisionKind.REFUSED, message, Subject(command.jobId, command.key.account))
+}
+
+private fun Transition.refuseSpec(command: LedgerCommand.SubmitJob): LedgerReply? {
+    val spec = command.spec
+    return when {
+        job(command.jobId) != null -> refused(ErrorCode.BAD_REQUEST, "job id ${command.jobId} is in use")
+        state.jobs.queued.size >= MAX_WAITING_JOBS ->
+            refused(ErrorCode.OVERLOADED, "$MAX_WAITING_JOBS jobs wait already")
+        invalidField(spec) != null -> refused(ErrorCode.BAD_REQUEST, "invalid ${invalidField(spec)}")
+        spec.failureDomain != null && spec.failureDomain != state.domain ->
+            refused(ErrorCode.BAD_REQUEST, "the job is pinned to ${spec.failureDomain}, this is ${state.domain}")
+        state.policy.services.isNotEmpty() && spec.service !in state.policy.services ->
+            refused(ErrorCode.UNKNOWN_SERVICE, "unknown service ${spec.service}")
+        else -> refuseSize(command)
+    }
+}
+
+private fun invalidField(spec: JobSpec): String? = when {
+    spec.estimatedSeconds < 0 -> "estimatedSeconds"
+    spec.payload.length > MAX_PAYLOAD_CHARS -> "payload"
+    else -> invalidField(spec.shape)
+}
+
+private fun invalidField(shape: Shape): String? = when {
+    shape.taskCount !in 1..MAX_TASKS -> "taskCount"
+    shape.acceleratorsPerTask < 0 -> "acceleratorsPerTask"
+    shape.coresPerTask < 0 -> "coresPerTask"
+    shape.memoryMiBPerTask < 0 -> "memoryMiBPerTask"
+    else -> null
+}
+
+private fun Transition.refuseSize(command: LedgerCommand.SubmitJob): LedgerReply? {
+    val shape = command.spec.shape
+    val quota = state.policy.quota(command.key.account)
+    val largest = if (state.workers.isEmpty()) shape else state.largestPossible(shape)
+    return when {
+        shape.acceleratorsPerTask.toLong() * shape.taskCount > quota ->
+            refused(ErrorCode.OVER_QUOTA, "the job needs ${shape.acceleratorCount} accelerators, the quota is $quota")
+        largest != shape ->
+            refused(ErrorCode.IMPOSSIBLE_SHAPE, "no place for ${shape.describe()}; largest: ${largest.describe()}")
+        else -> null
+    }
+}
+
+private fun Transition.enqueue(command: LedgerCommand.SubmitJob): LedgerReply {
+    val job = JobRecord(
+        jobId = command.jobId,
+        key = command.key,
+        spec = command.spec,
+        submittedIndex = index,
+        submittedMillis = nowMillis,
+    )
+    val keys = state.jobs.keys.put(command.key, JobKeyRecord(command.jobId, command.bodySha256Hex))
+    state = state.copy(jobs = state.jobs.copy(keys = keys))
+    retainKey(command.key)
+    val queued = moveJob(job, JobPhase.QUEUED, DecisionKind.QUEUED, "submitted")
+    return LedgerReply.Job(state.view(queued))
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/auburnlever/ledger/ApplyOutcomes.kt
@@ -0,0 +1,58 @@
+package org.auburnlever.ledger
+
+import org.auburnlever.wire.Answer
+import org.auburnlever.wire.ErrorCode
+import org.auburnlever.wire.Outcome
+
+private const val STORED_ANSWERS_BYTES = 8L * 1024 * 1024
+
+internal fun Transition.recordOutcome(command: LedgerCommand.RecordOutcome): LedgerReply {
+    val claim = state.claims.all[command.key]
+    return when {
+        claim == null -> refused(ErrorCode.NOT_FOUND, "no claim for this key")
+        claim.claimId != command.claimId ->
+            LedgerReply.Rejected(Outcome.Unknown(ErrorCode.IN_PROGRESS, "the claim belongs to another attempt"))
+        claim.outcome != null && !claim.timedOut -> LedgerReply.Done
+        else -> storeOutcome(command.key, claim, command.outcome)
+    }
+}
+
+private fun Transition.storeOutcome(key: RequestKey, claim: ClaimRecord, outcome: Outcome): LedgerReply {
+    val kept = if (outcome is Outcome.Completed) Outcome.Completed(withinLimit(outcome.answer)) else outcome
+    putClaim(key, claim.copy(outcome = kept, timedOut = false))
+    val size = (kept as? Outcome.Completed)?.answer?.body?.size ?: 0
+    if (size > 0) {
+        val claims = state.claims
+        val stored = claims.copy(
+            storedAnswers = claims.storedAnswers.put(key, size),
+            storedBytes = claims.storedBytes + size,
+        )
+        state = state.copy(claims = stored.reduceOldest(STORED_ANSWERS_BYTES))
+    }
+    events += LedgerEvent.ClaimEnded(key, kept, timedOut = false)
+    return LedgerReply.Done
+}
+
+private fun Transition.withinLimit(answer: Answer): Answer {
+    val size = answer.body?.size ?: 0
+    return if (size > state.policy.maxStoredAnswerBytes) answer.copy(body = null) else answer
+}
+
+private fun ClaimBook.reduceOldest(limitBytes: Long): ClaimBook {
+    var book = this
+    while (book.storedBytes > limitBytes) book = book.withoutBody(book.storedAnswers.keys.first())
+    return book
+}
+
+/** Keeps only length and digest of the answer of [key]. */
+private fun ClaimBook.withoutBody(key: RequestKey): ClaimBook {
+    val record = all[key]
+    val outcome = record?.outcome
+    val reduced = if (record != null && outcome is Outcome.Completed) {
+        all.put(key, record.copy(outcome = Outcome.Completed(outcome.answer.copy(body = null))))
+    } else {
+        all
+    }
+    val size = storedAnswers[key] ?: 0
+    return ClaimBook(reduced, storedAnswers.remove(key), storedBytes - size)
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/auburnlever/ledger/ApplyPlans.kt
@@ -0,0 +1,72 @@
+package org.auburnlever.ledger
+
+import kotlinx.collections.immutable.toPersistentMap
+import kotlinx.collections.immutable.toPersistentSet
+import org.auburnlever.world.Shape
+
+internal fun Transition.suspendWorker(action: ScheduleAction.SuspendWorker): String? {
+    val worker = worker(action.worker)
+    return if (worker == null || worker.failedStarts.size < worker.suspensionThreshold()) {
+        "worker ${action.worker} has too few failed starts"
+    } else {
+        val suspension = Suspension(action.untilMillis, (worker.suspension?.level ?: 0) + 1, action.reason)
+        putWorker(worker.copy(failedStarts = worker.failedStarts.clear(), suspension = suspension))
+        report(worker.name, DecisionKind.WORKER_SUSPENDED, action.reason)
+        unplan(worker.name)
+        null
+    }
+}
+
+/** A worker that was suspended before is suspended again at its next failed start. */
+internal fun WorkerRecord.suspensionThreshold(): Int = if (suspension == null) SUSPEND_AFTER_FAILURES else 1
+
+internal fun Transition.usePolicy(action: ScheduleAction.UsePolicy): String? =
+    if (action.policy.bundleVersion <= state.policy.bundleVersion) {
+        "policy ${action.policy.bundleVersion} is not newer"
+    } else {
+        state = state.copy(policy = action.policy)
+        null
+    }
+
+/**
+ * Takes over the new plan. A place that is not valid any more or overlaps an earlier one of the plan is dropped, and
+ * the plan stays stale. Guarantees that are claimed with the same shape keep their claim.
+ */
+internal fun Transition.planGuarantees(action: ScheduleAction.PlanGuarantees): String? {
+    if (action.bundleVersion < state.guarantees.bundleVersion) return "the plan is for an older bundle"
+    val before = state.guarantees.entries
+    val room = PlannedRoom(state.workers, state.timeMillis)
+    val claimed = action.plan.filter { before[it.id]?.isClaimedAs(it.shape) == true }
+    claimed.forEach { room.take(before.getValue(it.id).shape, before.getValue(it.id).placement) }
+    var dropped = false
+    val entries = action.plan.associate { planned ->
+        val old = before[planned.id]
+        if (old != null && old.isClaimedAs(planned.shape)) {
+            planned.id to old
+        } else {
+            val valid = planned.placement?.takeIf { room.fits(planned.shape, it) }
+            dropped = dropped || valid != planned.placement
+            room.take(planned.shape, valid)
+            planned.id to GuaranteeRecord(planned.shape, valid)
+        }
+    }
+    entries.forEach { (id, record) -> noteGuarantee(id, before[id], record) }
+    val atRisk = entries.filterValues { it.placement == null }.keys.toPersistentSet()
+    state = state.copy(guarantees = GuaranteePlan(action.bundleVersion, entries.toPersistentMap(), dropped, atRisk))
+    return null
+}
+
+private fun GuaranteeRecord.isClaimedAs(shape: Shape): Boolean = claimedBy != null && this.shape == shape
+
+private fun Transition.noteGuarantee(id: GuaranteeId, before: GuaranteeRecord?, after: GuaranteeRecord) {
+    val wasAtRisk = id in state.guarantees.atRisk
+    val isAtRisk = after.placement == null
+    val kind = if (isAtRisk) DecisionKind.GUARANTEE_AT_RISK else DecisionKind.GUARANTEE_PLANNED
+    if (wasAtRisk != isAtRisk) {
+        val text = if (isAtRisk) "no place for guarantee ${id.index}" else "guarantee ${id.index} has a place again"
+        note(kind, text, Subject(account = id.account))
+        events += LedgerEvent.GuaranteeChanged(id, isAtRisk)
+    } else if (before == null) {
+        note(kind, "guarantee ${id.index} is planned", Subject(account = id.account))
+    }
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/auburnlever/ledger/ApplyReports.kt
@@ -0,0 +1,77 @@
+package org.auburnlever.ledger
+
+import org.auburnlever.wire.JobPhase
+import org.auburnlever.wire.TaskReport
+import org.auburnlever.wire.TaskStatus
+import org.auburnlever.world.WorkerName
+
+internal fun Transition.tasksReported(command: LedgerCommand.TasksReported): LedgerReply {
+    val worker = worker(command.worker)
+    if (worker != null && !worker.lost && worker.epochMillis == command.epochMillis) {
+        command.reports.forEach { taskReported(command.worker, it) }
+    }
+    return LedgerReply.Done
+}
+
+/** Reports about an earlier placement, from another worker, or that go back are ignored. */
+private fun Transition.taskReported(worker: WorkerName, report: TaskReport) {
+    val task = state.expected(worker, report)
+    val reached = report.status.toTaskState()
+    if (task != null && !task.state.isFinal && reached > task.state) {
+        val error = report.error ?: "no error text".takeIf { reached == TaskState.FAILED }
+        setTask(report.jobId, report.taskIndex, task.copy(state = reached, result = report.result, error = error))
+        if (reached == TaskState.FAILED) blameForStart(report, checkNotNull(error))
+        if (reached == TaskState.COMPLETED) praiseWorker(worker)
+        advanceGang(report.jobId)
+    }
+}
+
+/** The task that [report] is about, if its token is that of the current placement on [worker]. */
+internal fun LedgerState.expected(worker: WorkerName, report: TaskReport): TaskRecord? {
+    val job = job(report.jobId)?.takeIf { it.isActive && it.token == report.token }
+    return job?.tasks?.getOrNull(report.taskIndex)?.takeIf { it.placement.worker == worker }
+}
+
+internal fun TaskStatus.toTaskState(): TaskState = when (this) {
+    TaskStatus.RESERVED -> TaskState.RESERVED
+    TaskStatus.RUNNING -> TaskState.RUNNING
+    TaskStatus.COMPLETED -> TaskState.COMPLETED
+    TaskStatus.FAILED -> TaskState.FAILED
+    TaskStatus.STOPPED -> TaskState.STOPPED
+}
+
+/** A failure soon after the start may be the worker's fault. */
+private fun Transition.blameForStart(report: TaskReport, error: String) {
+    val job = checkNotNull(job(report.jobId))
+    if (!job.confirmed && job.phase != JobPhase.STOPPING) blameWorker(job.jobId, report.taskIndex, error)
+}
+
+/**
+ * Counts a failed start against the worker of the task, or against the job if the job also failed elsewhere; then the
+ * job's earlier failures don't count against other workers either.
+ */
+internal fun Transition.blameWorker(jobId: String, taskIndex: Int, error: String) {
+    val job = checkNotNull(job(jobId))
+    val name = job.tasks[taskIndex].placement.worker
+    putJob(job.copy(failedOn = job.failedOn.add(name)))
+    note(DecisionKind.START_FAILED, error, Subject(jobId, job.account, name))
+    val elsewhere = job.failedOn.remove(name)
+    elsewhere.mapNotNull { worker(it) }.forEach { putWorker(it.copy(failedStarts = it.failedStarts.remove(jobId))) }
+    val worker = worker(name)
+    if (worker != null && elsewhere.isEmpty()) {
+        putWorker(worker.copy(failedStarts = worker.failedStarts.add(jobId)))
+    }
+}
+
+/** A success clears the failed starts of [name] and ends its probation. */
+internal fun Transition.praiseWorker(name: WorkerName) {
+    val worker = worker(name)
+    if (worker != null && (worker.failedStarts.isNotEmpty() || worker.suspension != null)) {
+        val wasSuspended = worker.suspension != null
+        putWorker(worker.copy(failedStarts = worker.failedStarts.clear(), suspension = null))
+        if (wasSuspended) {
+            report(name, DecisionKind.WORKER_RESUMED, "a task succeeded after the suspension")
+            replanMissing()
+        }
+    }
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/auburnlever/ledger/ApplyWorkers.kt
@@ -0,0 +1,80 @@
+package org.auburnlever.ledger
+
+import org.auburnlever.wire.ErrorCode
+import org.auburnlever.wire.WorkerHeartbeat
+
+/** Lost workers are remembered this long: they usually return, and jobs that fit only them are not refused. */
+private const val LOST_WORKER_RETENTION_MILLIS = 24 * 3_600_000L
+private const val MAX_WORKERS = 2_000
+
+internal fun Transition.workerSeen(heartbeat: WorkerHeartbeat): LedgerReply {
+    val known = worker(heartbeat.worker)
+    return when {
+        !heartbeat.isValid() -> refused(ErrorCode.BAD_REQUEST, "worker ${heartbeat.worker} announced invalid sizes")
+        heartbeat.failureDomain != state.domain ->
+            refused(ErrorCode.BAD_REQUEST, "worker ${heartbeat.worker} belongs to ${heartbeat.failureDomain}")
+        known == null && !hasRoom() -> refused(ErrorCode.OVERLOADED, "the ledger holds $MAX_WORKERS workers")
+        known == null -> workerJoined(heartbeat, null)
+        known.lost -> workerJoined(heartbeat, known)
+        heartbeat.epochMillis < known.epochMillis -> refused(ErrorCode.BAD_REQUEST, "stale epoch")
+        heartbeat.epochMillis > known.epochMillis || heartbeat.shrinks(known) -> workerRestarted(heartbeat, known)
+        else -> workerChanged(heartbeat, known)
+    }
+}
+
+private fun WorkerHeartbeat.isValid(): Boolean =
+    acceleratorCount in 0..Long.SIZE_BITS && cores >= 0 && memoryMiB >= 0
+
+/** A worker that announces fewer accelerators can't hold its tasks any more. */
+private fun WorkerHeartbeat.shrinks(known: WorkerRecord): Boolean = acceleratorCount < known.acceleratorCount
+
+/** Makes room by forgetting workers that have been lost for a day. */
+private fun Transition.hasRoom(): Boolean {
+    val forgotten = state.workers.values.filter { it.isForgotten(nowMillis) }
+    forgotten.forEach { state = state.copy(workers = state.workers.remove(it.name)) }
+    return state.workers.size < MAX_WORKERS
+}
+
+internal fun WorkerRecord.isForgotten(nowMillis: Long): Boolean =
+    lost && held.isEmpty() && lostMillis + LOST_WORKER_RETENTION_MILLIS <= nowMillis
+
+private fun Transition.workerJoined(heartbeat: WorkerHeartbeat, known: WorkerRecord?): LedgerReply {
+    val record = WorkerRecord(
+        name = heartbeat.worker,
+        rack = heartbeat.rack,
+        positionInRack = heartbeat.positionInRack,
+        epochMillis = heartbeat.epochMillis,
+        acceleratorCount = heartbeat.acceleratorCount,
+        cores = heartbeat.cores,
+        memoryMiB = heartbeat.memoryMiB,
+        draining = heartbeat.draining,
+        suspension = known?.suspension,
+    )
+    putWorker(record)
+    report(record.name, DecisionKind.WORKER_JOINED, "joined with ${record.acceleratorCount} accelerators")
+    if (record.isUsable(nowMillis)) replanMissing()
+    return LedgerReply.Done
+}
+
+private fun Transition.workerRestarted(heartbeat: WorkerHeartbeat, known: WorkerRecord): LedgerReply {
+    loseWorker(known, "restarted with a new epoch")
+    return workerJoined(heartbeat, known)
+}
+
+private fun Transition.workerChanged(heartbeat: WorkerHeartbeat, known: WorkerRecord): LedgerReply {
+    val changed = known.copy(
+        rack = heartbeat.rack,
+        positionInRack = heartbeat.positionInRack,
+        acceleratorCount = heartbeat.acceleratorCount,
+        cores = heartbeat.cores,
+        memoryMiB = heartbeat.memoryMiB,
+        draining = heartbeat.draining,
+    )
+    if (changed != known) {
+        putWorker(changed)
+        report(known.name, DecisionKind.WORKER_CHANGED, if (changed.draining) "is draining" else "announced new sizes")
+        unplan(known.name)
+        replanMissing()
+    }
+    return LedgerReply.Done
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/auburnlever/ledger/Deadlines.kt
@@ -0,0 +1,108 @@
+package org.auburnlever.ledger
+
+import org.auburnlever.wire.ErrorCode
+import org.auburnlever.wire.JobPhase
+import org.auburnlever.wire.Outcome
+
+private const val DONE_RETENTION_MILLIS = 24 * 3_600_000L
+
+/** Bounds the state; at the target of 590 jobs per day this is more than three days. */
+private const val MAX_DONE_JOBS = 2_000
+
+/** Results of done jobs beyond this are removed together with the oldest jobs. */
+private const val MAX_RESULT_BYTES = 4L * 1024 * 1024
+
+/** Ledger time at which the next deadline takes effect; `Long.MAX_VALUE` without one. */
+fun LedgerState.nextDeadlineMillis(): Long {
+    val oldestDone = jobs.done.values.firstOrNull()?.plus(DONE_RETENTION_MILLIS) ?: Long.MAX_VALUE
+    return minOf(deadlines.nextMillis, retention.nextMillis, oldestDone)
+}
+
+internal fun Transition.passDeadlines() {
+    if (state.deadlines.nextMillis <= nowMillis) {
+        val (items, rest) = state.deadlines.takeDue(nowMillis)
+        state = state.copy(deadlines = rest)
+        items.forEach { fallDue(it) }
+    }
+    if (state.retention.nextMillis <= nowMillis) {
+        val (items, rest) = state.retention.takeDue(nowMillis)
+        state = state.copy(retention = rest)
+        items.forEach { fallDue(it) }
+    }
+    removeOldJobs()
+}
+
+private fun Transition.fallDue(item: DueItem) = when (item) {
+    is DueItem.ClaimDeadline -> claimTimedOut(item)
+    is DueItem.KeyExpiry -> removeKey(item.key)
+    is DueItem.GangDeadline -> gangTimedOut(item)
+    is DueItem.StartConfirmed -> confirmStart(item)
+}
+
+private fun Transition.claimTimedOut(item: DueItem.ClaimDeadline) {
+    val claim = state.claims.all[item.key]
+    if (claim != null && claim.claimId == item.claimId && claim.outcome == null) {
+        val outcome = Outcome.Unknown(ErrorCode.DEADLINE_EXCEEDED, "no outcome was recorded before the deadline")
+        val record = claim.copy(outcome = outcome, timedOut = true)
+        state = state.copy(claims = state.claims.copy(all = state.claims.all.put(item.key, record)))
+        events += LedgerEvent.ClaimEnded(item.key, outcome, timedOut = true)
+    }
+}
+
+/** Removes an expired key, unless its request or job is still in progress; then it is looked at again later. */
+private fun Transition.removeKey(key: RequestKey) {
+    val claim = state.claims.all[key]
+    val pending = claim != null && claim.outcome == null && claim.deadlineMillis > nowMillis
+    val job = state.jobs.keys[key]?.let { job(it.jobId) }
+    if (pending || job != null) {
+        val later = nowMillis + LedgerState.RETENTION_WIDTH_MILLIS
+        state = state.copy(retention = state.retention.add(DueItem.KeyExpiry(key), later))
+    } else {
+        val claims = state.claims
+        val size = claims.storedAnswers[key] ?: 0
+        state = state.copy(
+            claims = ClaimBook(claims.all.remove(key), claims.storedAnswers.remove(key), claims.storedBytes - size),
+            jobs = state.jobs.copy(keys = state.jobs.keys.remove(key)),
+        )
+    }
+}
+
+private fun Transition.gangTimedOut(item: DueItem.GangDeadline) {
+    val job = job(item.jobId) ?: return
+    val phase = if (item.starting) JobPhase.STARTING else JobPhase.RESERVING
+    if (job.token == item.token && job.phase == phase) {
+        val waitsFor = if (item.starting) TaskState.RESERVED else TaskState.PENDING
+        val late = job.tasks.indices.filter { job.tasks[it].state == waitsFor }
+        val verb = if (item.starting) "start" else "be reserved"
+        late.forEach { blameWorker(job.jobId, it, "task $it did not $verb in time") }
+        beginStop(job.jobId, StopCause.START_FAILED, "tasks $late did not $verb within 3 s")
+    }
+}
+
+private fun Transition.confirmStart(item: DueItem.StartConfirmed) {
+    val job = job(item.jobId) ?: return
+    if (job.token == item.token && job.phase == JobPhase.RUNNING) {
+        putJob(job.copy(confirmed = true))
+        job.tasks.map { it.placement.worker }.distinct().forEach { praiseWorker(it) }
+    }
+}
+
+private fun Transition.removeOldJobs() {
+    var jobs = state.jobs
+    while (jobs.done.isNotEmpty() && jobs.isOverLimit(nowMillis)) {
+        val oldest = jobs.done.keys.first()
+        jobs = jobs.copy(
+            all = jobs.all.remove(oldest),
+            done = jobs.done.remove(oldest),
+            resultBytes = jobs.resultBytes - (jobs.all[oldest]?.resultBytes() ?: 0),
+        )
+    }
+    if (jobs !== state.jobs) state = state.copy(jobs = jobs)
+}
+
+private fun JobBook.isOverLimit(nowMillis: Long): Boolean =
+    done.size > MAX_DONE_JOBS ||
+        resultBytes > MAX_RESULT_BYTES && done.size > 1 ||
+        done.values.first() + DONE_RETENTION_MILLIS <= nowMillis
+
+internal fun JobRecord.resultBytes(): Long = tasks.sumOf { (it.result?.length ?: 0).toLong() }
--- /dev/null
+++ b/core/src/main/kotlin/org/auburnlever/ledger/Leader.kt
@@ -0,0 +1,122 @@
+package org.auburnlever.ledger
+
+import org.auburnlever.configuration.Bundle
+import org.auburnlever.placement.Scheduler
+import org.auburnlever.wire.JobPhase
+import org.auburnlever.wire.TaskReport
+import org.auburnlever.wire.TaskStatus
+import org.auburnlever.wire.WorkerHeartbeat
+import org.auburnlever.world.DomainName
+
+/** A worker stops its tasks 10 s after its last renewed heartbeat; 2 s cover differing clock rates and the stop. */
+private const val WORKER_LOST_MILLIS = 12_000L
+
+/** A worker that does not report a task for this long, in spite of heartbeats, does not have it. */
+private const val TASK_MISSING_MILLIS = 3_000L
+
+/** The scheduler runs again after this time even if the ledger did not change, since estimates and ages do. */
+private const val REPLAN_MILLIS = 1_000L
+
+/**
+ * Takes a worker's heartbeat.
+ *
+ * Proposes `WorkerSeen` when the announcement differs from the ledger and `TasksReported` for statuses that the ledger
+ * does not know yet. A heartbeat that is older than one already taken has no effect.
+ */
+fun heartbeat(ledger: LedgerState, leader: LeaderState, heartbeat: WorkerHeartbeat, nowMillis: Long): LeaderStep {
+    val known = ledger.workers[heartbeat.worker]
+    val seen = leader.workers[heartbeat.worker]
+    return if (isStale(heartbeat, known, seen)) {
+        LeaderStep(leader, emptyList())
+    } else {
+        val missing = missingTasks(ledger, known, heartbeat, seen, nowMillis)
+        val taken = SeenWorker(nowMillis, heartbeat.epochMillis, heartbeat.sequence, heartbeat.tasks, missing)
+        val reports = changedReports(ledger, heartbeat) + goneReports(missing, nowMillis)
+        val commands = listOfNotNull(
+            LedgerCommand.WorkerSeen(heartbeat.copy(tasks = emptyList())).takeIf { differs(heartbeat, known) },
+            LedgerCommand.TasksReported(heartbeat.worker, heartbeat.epochMillis, reports)
+                .takeIf { reports.isNotEmpty() },
+        )
+        LeaderStep(leader.copy(workers = leader.workers.put(heartbeat.worker, taken)), commands)
+    }
+}
+
+private fun isStale(heartbeat: WorkerHeartbeat, known: WorkerRecord?, seen: SeenWorker?): Boolean {
+    val oldEpoch = known != null && !known.lost && heartbeat.epochMillis < known.epochMillis
+    val oldSequence = seen != null && heartbeat.epochMillis == seen.epochMillis && heartbeat.sequence <= seen.sequence
+    return oldEpoch || oldSequence
+}
+
+private fun differs(heartbeat: WorkerHeartbeat, known: WorkerRecord?): Boolean {
+    val announced = known?.copy(
+        lost = false,
+        epochMillis = heartbeat.epochMillis,
+        rack = heartbeat.rack,
+        positionInRack = heartbeat.positionInRack,
+        acceleratorCount = heartbeat.acceleratorCount,
+        cores = heartbeat.cores,
+        memoryMiB = heartbeat.memoryMiB,
+        draining = heartbeat.draining,
+    )
+    return known == null || announced != known
+}
+
+private fun changedReports(ledger: LedgerState, heartbeat: WorkerHeartbeat): List<TaskReport> =
+    heartbeat.tasks.filter { report ->
+        val task = ledger.expected(heartbeat.worker, report)
+        task != null && !task.state.isFinal && report.status.toTaskState() > task.state
+    }
+
+/** Tasks that the worker should hold and does not report; a task that waits for its reserve order is not missing. */
+private fun missingTasks(
+    ledger: LedgerState,
+    known: WorkerRecord?,
+    heartbeat: WorkerHeartbeat,
+    seen: SeenWorker?,
+    nowMillis: Long,
+): Map<TaskRef, MissingTask> {
+    val reported = heartbeat.tasks.mapTo(HashSet()) { TaskRef(it.jobId, it.taskIndex) to it.token }
+    val held = known?.takeIf { !it.lost && it.epochMillis == heartbeat.epochMillis }?.held.orEmpty()
+    return held.filter { ref ->
+        val job = checkNotNull(ledger.job(ref.jobId))
+        val expected = job.phase == JobPhase.STOPPING || job.tasks[ref.taskIndex].state != TaskState.PENDING
+        expected && ref to job.token !in reported
+    }.associateWith { ref ->
+        val token = checkNotNull(ledger.job(ref.jobId)).token
+        seen?.missing?.get(ref)?.takeIf { it.token == token } ?: MissingTask(token, nowMillis)
+    }
+}
+
+private fun goneReports(missing: Map<TaskRef, MissingTask>, nowMillis: Long): List<TaskReport> =
+    missing.filterValues { nowMillis - it.sinceMillis >= TASK_MISSING_MILLIS }.map { (ref, task) ->
+        val error = "the worker does not report the task any more"
+        TaskReport(ref.jobId, ref.taskIndex, task.token, TaskStatus.STOPPED, error = error)
+    }
+
+/**
+ * Lets time pass on the leader: proposes lost workers, due deadlines and the scheduler's decisions.
+ *
+ * Without a [bundle] nothing is scheduled. Call it about every 100 ms and after each applied command that frees
+ * capacity; it returns at once when nothing changed.
+ */
+fun tick(
+    ledger: LedgerState,
+    leader: LeaderState,
+    bundle: Bundle?,
+    domain: DomainName,
+    nowMillis: Long,
+): LeaderStep {
+    val lost = ledger.workers.values
+        .filter { !it.lost && nowMillis - leader.lastSeenMillis(it.name) >= WORKER_LOST_MILLIS }
+        .map { LedgerCommand.WorkerLost(it.name, it.epochMillis) }
+    val due = listOfNotNull(LedgerCommand.TimePassed.takeIf { ledger.nextDeadlineMillis() <= nowMillis })
+    val urgent = lost + due
+    val unchanged = leader.plannedIndex == ledger.lastIndex && nowMillis - leader.plannedMillis < REPLAN_MILLIS
+    return if (bundle == null || unchanged || urgent.isNotEmpty()) {
+        LeaderStep(leader, urgent)
+    } else {
+        val actions = Scheduler.plan(ledger, bundle, domain, leader, nowMillis)
+        val schedule = listOfNotNull(LedgerCommand.Schedule(actions).takeIf { actions.isNotEmpty() })
+        LeaderStep(leader.copy(plannedIndex = ledger.lastIndex, plannedMillis = nowMillis), schedule)
+    }
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/auburnlever/ledger/LedgerState.kt
@@ -0,0 +1,85 @@
+@file:UseSerializers(PersistentMapSerializer::class, PersistentSetSerializer::class)
+
+package org.auburnlever.ledger
+
+import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.PersistentSet
+import kotlinx.collections.immutable.persistentMapOf
+import kotlinx.collections.immutable.persistentSetOf
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.UseSerializers
+import org.auburnlever.world.AccountName
+import org.auburnlever.world.DomainName
+import org.auburnlever.world.ServiceName
+import org.auburnlever.world.WorkerName
+
+/**
+ * The replicated state of one failure domain's ledger.
+ *
+ * All maps iterate in insertion order, also after a snapshot, so every replica takes the same decisions.
+ * [timeMillis] is the largest time seen in a command and never goes back.
+ */
+@Serializable
+data class LedgerState(
+    val domain: DomainName,
+    val timeMillis: Long = 0,
+    val lastIndex: Long = 0,
+    val policy: LedgerPolicy = LedgerPolicy(),
+    val claims: ClaimBook = ClaimBook(),
+    val jobs: JobBook = JobBook(),
+    val workers: PersistentMap<WorkerName, WorkerRecord> = persistentMapOf(),
+    val guarantees: GuaranteePlan = GuaranteePlan(),
+    val accounts: PersistentMap<AccountName, AccountRecord> = persistentMapOf(),
+    val deadlines: DueIndex = DueIndex(DEADLINE_WIDTH_MILLIS),
+    val retention: DueIndex = DueIndex(RETENTION_WIDTH_MILLIS),
+    val journal: Journal = Journal(),
+) {
+    /** The job with [jobId], or null. */
+    fun job(jobId: String): JobRecord? = jobs.all[jobId]
+
+    internal companion object {
+        /** Deadlines take effect at most this much late. */
+        const val DEADLINE_WIDTH_MILLIS = 250L
+
+        /** Coarse, so that 25 h of retained keys make only 1,500 buckets. */
+        const val RETENTION_WIDTH_MILLIS = 60_000L
+    }
+}
+
+/** The part of the bundle that `apply` needs; it is logged, so that all replicas use the same at the same index. */
+@Serializable
+data class LedgerPolicy(
+    val bundleVersion: Long = 0,
+    val quotas: Map<AccountName, Int> = emptyMap(),
+    val services: Set<ServiceName> = emptySet(),
+    val maxStoredAnswerBytes: Int = DEFAULT_STORED_ANSWER_BYTES,
+) {
+    /** Accelerators that [account] may hold in this failure domain at once. */
+    fun quota(account: AccountName): Int = quotas[account] ?: Int.MAX_VALUE
+
+    internal companion object {
+        const val DEFAULT_STORED_ANSWER_BYTES = 65_536
+    }
+}
+
+/** What the ledger counts for one account; [estimateFactor] is observed over estimated run time. */
+@Serializable
+data class AccountRecord(val heldAccelerators: Int = 0, val estimateFactor: Double = 1.0)
+
+/** The jobs of a ledger with the indexes that make each transition independent of their number. */
+@Serializable
+data class JobBook(
+    val all: PersistentMap<String, JobRecord> = persistentMapOf(),
+    val queued: PersistentSet<String> = persistentSetOf(),
+    val active: PersistentSet<String> = persistentSetOf(),
+    val done: PersistentMap<String, Long> = persistentMapOf(),
+    val keys: PersistentMap<RequestKey, JobKeyRecord> = persistentMapOf(),
+    val resultBytes: Long = 0,
+)
+
+/** Ties a caller's key to its job after the job's record was removed. */
+@Serializable
+data class JobKeyRecord(val jobId: String, val bodySha256Hex: String)
+
+/** The result of applying one command. */
+data class LedgerApplied(val state: LedgerState, val reply: LedgerReply, val events: List<LedgerEvent>)
--- a/core/src/main/kotlin/org/auburnlever/ledger/ScheduleAction.kt
+++ b/core/src/main/kotlin/org/auburnlever/ledger/ScheduleAction.kt
@@ -35,10 +35,15 @@
         val reason: String,
     ) : ScheduleAction
 
-    /** Stops a job to make room; it is queued again if it is repeatable. */
+    /** Stops a job to make room for [forJobId]; it is queued again if it is repeatable. */
     @Serializable
     @SerialName("preempt")
-    data class Preempt(val jobId: String, val graceMillis: Long, val reason: String) : ScheduleAction
+    data class Preempt(
+        val jobId: String,
+        val graceMillis: Long,
+        val reason: String,
+        val forJobId: String? = null,
+    ) : ScheduleAction
 
     /** Ends a queued job that can never run. */
     @Serializable
@@ -54,4 +59,14 @@
     @Serializable
     @SerialName("suspend_worker")
     data class SuspendWorker(val worker: WorkerName, val untilMillis: Long, val reason: String) : ScheduleAction
+
+    /** Records why a queued job waits and what would let it run. */
+    @Serializable
+    @SerialName("wait")
+    data class Wait(val jobId: String, val reason: String) : ScheduleAction
+
+    /** Takes over the parts of a newer bundle that the ledger needs. */
+    @Serializable
+    @SerialName("use_policy")
+    data class UsePolicy(val policy: LedgerPolicy) : ScheduleAction
 }
--- /dev/null
+++ b/core/src/main/kotlin/org/auburnlever/placement/GuaranteePlanner.kt
@@ -0,0 +1,145 @@
+package org.auburnlever.placement
+
+import org.auburnlever.configuration.Bundle
+import org.auburnlever.ledger.GangPlacement
+import org.auburnlever.ledger.GuaranteeId
+import org.auburnlever.ledger.GuaranteeRecord
+import org.auburnlever.ledger.LedgerState
+import org.auburnlever.ledger.PlannedGuarantee
+import org.auburnlever.ledger.WorkerRecord
+import org.auburnlever.ledger.mask
+import org.auburnlever.world.DomainName
+import org.auburnlever.world.Shape
+
+/** The guaranteed shapes of [domain], one id for each; indexes count up within an account. */
+internal fun Bundle.guaranteedShapes(domain: DomainName): Map<GuaranteeId, Shape> {
+    val shapes = LinkedHashMap<GuaranteeId, Shape>()
+    accounts.forEach { account ->
+        val own = account.guarantees.filter { it.failureDomain == domain }
+            .flatMap { guarantee -> List(guarantee.count) { guarantee.shape } }
+        own.forEachIndexed { index, shape -> shapes[GuaranteeId(account.name, index)] = shape }
+    }
+    return shapes
+}
+
+/** Plans a disjoint place for each guaranteed shape that no job claims. */
+internal class GuaranteePlanner(
+    private val state: LedgerState,
+    private val shapes: Map<GuaranteeId, Shape>,
+    private val weights: Weights,
+    private val nowMillis: Long,
+) {
+    private val entries = state.guarantees.entries
+    private val claimed: Map<GuaranteeId, GuaranteeRecord> =
+        entries.filter { (id, record) -> record.claimedBy != null && record.shape == shapes[id] }
+
+    /**
+     * Keeps the places of the current plan and adds the missing ones; if one can't be added, plans all of them anew,
+     * the largest first, and takes the plan with fewer shapes without a place.
+     */
+    fun plan(): List<PlannedGuarantee> {
+        val kept = place(keep = true)
+        val plan = if (kept.values.any { it == null }) listOf(kept, place(keep = false)).minBy(::missing) else kept
+        return shapes.map { (id, shape) -> PlannedGuarantee(id, shape, claimed[id]?.placement ?: plan[id]) }
+    }
+
+    private fun missing(plan: Map<GuaranteeId, GangPlacement?>): Int =
+        plan.filterValues { it == null }.keys.sumOf { shapes.getValue(it).acceleratorCount.coerceAtLeast(1) }
+
+    private fun place(keep: Boolean): Map<GuaranteeId, GangPlacement?> {
+        val room = emptyRoom()
+        val plan = LinkedHashMap<GuaranteeId, GangPlacement?>()
+        val open = shapes.filterKeys { it !in claimed }
+        open.forEach { (id, shape) ->
+            val old = entries[id]?.takeIf { keep && it.shape == shape }?.placement
+            if (old != null && room.holds(old, shape)) {
+                room.block(old, shape)
+                plan[id] = old
+            }
+        }
+        open.filterKeys { it !in plan }
+            .entries
+            .sortedByDescending { it.value.acceleratorCount }
+            .forEach { (id, shape) -> plan[id] = room.find(shape)?.also { room.block(it, shape) } }
+        return plan
+    }
+
+    /** Capacity without the claimed guarantees; accelerators that borrowed work uses are taken last. */
+    private fun emptyRoom(): Room {
+        val usable = state.workers.values.filter { it.isUsable(nowMillis) && !it.isOnProbation(nowMillis) }
+        val room = Room.whole(usable, weights)
+        claimed.values.forEach { record -> record.placement?.let { room.block(it, record.shape) } }
+        usable.forEach { worker -> room.slot(worker.name)?.avoidMask = worker.busyMask }
+        return room
+    }
+}
+
+private fun Room.holds(placement: GangPlacement, shape: Shape): Boolean =
+    placement.tasks.groupBy { it.worker }.all { (name, tasks) ->
+        val slot = slot(name)
+        val mask = tasks.fold(0L) { sum, task -> sum or task.mask() }
+        slot != null && mask and slot.freeMask.inv() == 0L &&
+            tasks.size.toLong() * shape.coresPerTask <= slot.freeCores &&
+            tasks.size * shape.memoryMiBPerTask <= slot.freeMemoryMiB
+    }
+
+/** Whether a bundle's guarantees for one failure domain fit the announced workers. */
+sealed interface GuaranteeCheck {
+    /** All guaranteed shapes fit at the same time. */
+    data object Fits : GuaranteeCheck
+
+    /** The sum of [resource] over all guarantees is [needed], the workers have [available]. */
+    data class SumExceeds(
+        val domain: DomainName,
+        val resource: String,
+        val needed: Long,
+        val available: Long,
+    ) : GuaranteeCheck
+
+    /** The sums fit, but the blocks for [unplaced] can't be found beside the others. */
+    data class NoBlock(val domain: DomainName, val unplaced: List<PlannedGuarantee>) : GuaranteeCheck
+}
+
+/** Checks the guarantees of [bundle] for [domain] against [workers]; lost workers don't count. */
+fun checkGuarantees(bundle: Bundle, domain: DomainName, workers: Collection<WorkerRecord>): GuaranteeCheck {
+    val shapes = bundle.guaranteedShapes(domain)
+    val present = workers.filter { !it.lost }
+    return exceededSum(domain, shapes.values, present) ?: unplaced(domain, shapes, present, bundle)
+}
+
+private fun exceededSum(domain: DomainName, shapes: Collection<Shape>, workers: List<WorkerRecord>): GuaranteeCheck? =
+    sequenceOf(
+        GuaranteeCheck.SumExceeds(
+            domain,
+            "accelerators",
+            shapes.sumOf { it.taskCount.toLong() * it.acceleratorsPerTask },
+            workers.sumOf { it.acceleratorCount.toLong() },
+        ),
+        GuaranteeCheck.SumExceeds(
+            domain,
+            "cores",
+            shapes.sumOf { it.taskCount.toLong() * it.coresPerTask },
+            workers.sumOf { it.cores.toLong() },
+        ),
+        GuaranteeCheck.SumExceeds(
+            domain,
+            "memoryMiB",
+            shapes.sumOf { it.taskCount * it.memoryMiBPerTask },
+            workers.sumOf { it.memoryMiB },
+        ),
+    ).firstOrNull { it.needed > it.available }
+
+private fun unplaced(
+    domain: DomainName,
+    shapes: Map<GuaranteeId, Shape>,
+    workers: List<WorkerRecord>,
+    bundle: Bundle,
+): GuaranteeCheck {
+    val empty = workers.map { it.copy(draining = false, suspension = null) }
+    val state = LedgerState(domain).let { blank ->
+        blank.copy(workers = empty.fold(blank.workers) { map, worker -> map.put(worker.name, worker) })
+    }
+    val weights = Weights(bundle.policy.completionTime, bundle.policy.fragmentation)
+    val missing = GuaranteePlanner(state, shapes, weights, nowMillis = 0).plan().filter { it.placement == null }
+    return if (missing.isEmpty()) GuaranteeCheck.Fits else GuaranteeCheck.NoBlock(domain, missing)
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/auburnlever/placement/QueueOrder.kt
@@ -0,0 +1,97 @@
+package org.auburnlever.placement
+
+import org.auburnlever.configuration.Bundle
+import org.auburnlever.ledger.GuaranteeId
+import org.auburnlever.ledger.JobRecord
+import org.auburnlever.ledger.LedgerState
+import org.auburnlever.ledger.isCoveredBy
+import org.auburnlever.world.AccountName
+import kotlin.math.ln
+
+private const val MILLIS_PER_SECOND = 1_000.0
+private const val SECONDS_PER_MINUTE = 60.0
+private const val MILLIS_PER_HOUR = 3_600_000.0
+
+/** Doubling the estimate weighs as much as a tenth of the domain's accelerators held by an account of average share. */
+private const val ESTIMATE_WEIGHT = 0.1
+
+/** The classes of the queue, first to last. */
+internal enum class QueueClass { GUARANTEED, URGENT, ROUTINE }
+
+/** A queued job with its place in the order; lower [score] first within a class. */
+internal class QueuedJob(
+    val job: JobRecord,
+    val queueClass: QueueClass,
+    val guarantee: GuaranteeId?,
+    val estimateMillis: Long,
+    val score: Double,
+)
+
+/** Run time that is expected of [job]: its estimate, corrected by what the account's earlier jobs needed. */
+internal fun LedgerState.correctedMillis(job: JobRecord): Long {
+    val factor = accounts[job.account]?.estimateFactor ?: 1.0
+    return (job.spec.estimatedSeconds * factor * MILLIS_PER_SECOND).toLong()
+}
+
+/**
+ * Orders the queue of one state.
+ *
+ * The score adds the account's part of the domain over its share, counting the jobs that stand before in the account's
+ * own order; the estimate, which prefers short jobs and is weighted with completion time; and the age, one point an
+ * hour, which keeps long jobs from waiting forever.
+ */
+internal class QueueOrder(private val state: LedgerState, bundle: Bundle, private val nowMillis: Long) {
+    private val shares = bundle.accounts.associate { it.name to maxOf(it.share, 1) }
+    private val averageShare = maxOf(shares.values.average().takeUnless { it.isNaN() } ?: 1.0, 1.0)
+    private val estimateWeight = ESTIMATE_WEIGHT * bundle.policy.completionTime
+    private val total = maxOf(state.workers.values.sumOf { if (it.lost) 0 else it.acceleratorCount }, 1)
+
+    /** The queued jobs, first to be served first. */
+    fun jobs(): List<QueuedJob> {
+        val waiting = state.jobs.queued.map { state.jobs.all.getValue(it) }
+        val claims = ClaimMatcher(state)
+        return waiting.groupBy { it.account }
+            .flatMap { (account, own) -> score(account, own, claims) }
+            .sortedWith(compareBy({ it.queueClass }, { it.score }, { it.job.submittedIndex }))
+    }
+
+    private fun score(account: AccountName, own: List<JobRecord>, claims: ClaimMatcher): List<QueuedJob> {
+        val share = (shares[account] ?: 1) / averageShare
+        var held = state.accounts[account]?.heldAccelerators ?: 0
+        return own.map { it to ownScore(it) }
+            .sortedWith(compareBy({ !it.first.spec.urgent }, { it.second }, { it.first.submittedIndex }))
+            .map { (job, ownScore) ->
+                val guarantee = claims.take(job)
+                val score = ownScore + held / (share * total)
+                held += job.spec.shape.acceleratorCount
+                QueuedJob(job, classOf(job, guarantee), guarantee, state.correctedMillis(job), score)
+            }
+    }
+
+    private fun ownScore(job: JobRecord): Double {
+        val minutes = state.correctedMillis(job) / MILLIS_PER_SECOND / SECONDS_PER_MINUTE
+        val age = (nowMillis - job.submittedMillis) / MILLIS_PER_HOUR
+        return estimateWeight * ln(1 + minutes) - age
+    }
+
+    private fun classOf(job: JobRecord, guarantee: GuaranteeId?): QueueClass = when {
+        guarantee != null -> QueueClass.GUARANTEED
+        job.spec.urgent -> QueueClass.URGENT
+        else -> QueueClass.ROUTINE
+    }
+}
+
+/** Gives each unclaimed guarantee to the first queued job of its account that it covers. */
+private class ClaimMatcher(state: LedgerState) {
+    private val unclaimed = state.guarantees.entries
+        .filterValues { it.claimedBy == null && it.placement != null }
+        .entries
+        .groupByTo(mutableMapOf(), { it.key.account }, { it.key to it.value.shape })
+
+    fun take(job: JobRecord): GuaranteeId? {
+        val own = unclaimed[job.account]
+        val match = own?.firstOrNull { (_, shape) -> job.spec.shape.isCoveredBy(shape) }
+        if (match != null) own.remove(match)
+        return match?.first
+    }
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/auburnlever/placement/Slot.kt
@@ -0,0 +1,126 @@
+package org.auburnlever.placement
+
+import org.auburnlever.ledger.TaskPlacement
+import org.auburnlever.ledger.WorkerRecord
+import org.auburnlever.ledger.longestRun
+import org.auburnlever.world.RackName
+import org.auburnlever.world.Shape
+import org.auburnlever.world.WorkerName
+
+/**
+ * What is free on one worker while a plan is made; mutable, and used only within one call of the planner.
+ *
+ * Bits of [avoidMask] are taken last: they are planned for guarantees, so work there is likely to be preempted.
+ */
+internal class Slot(val worker: WorkerName, val rack: RackName, val position: Int, val allMask: Long) {
+    var freeMask: Long = 0
+    var freeCores: Long = 0
+    var freeMemoryMiB: Long = 0
+    var avoidMask: Long = 0
+
+    /** Bounds on what may be taken, whatever becomes free: a block that is kept for another job or a guarantee. */
+    var limitMask: Long = -1L
+    var limitCores: Long = Long.MAX_VALUE
+    var limitMemoryMiB: Long = Long.MAX_VALUE
+
+    val usableMask: Long get() = freeMask and limitMask
+
+    /** True while the worker may only run one small job. */
+    var probation: Boolean = false
+
+    /** How many tasks of [shape] fit now, at most [limit]. */
+    fun tasksThatFit(shape: Shape, limit: Int): Int {
+        var count = limit.toLong()
+        if (shape.coresPerTask > 0) count = minOf(count, minOf(freeCores, limitCores) / shape.coresPerTask)
+        if (shape.memoryMiBPerTask > 0) {
+            count = minOf(count, minOf(freeMemoryMiB, limitMemoryMiB) / shape.memoryMiBPerTask)
+        }
+        if (count > 0 && shape.acceleratorsPerTask > 0) {
+            count = minOf(count, countRuns(usableMask, shape.acceleratorsPerTask).toLong())
+        }
+        return maxOf(count, 0L).toInt()
+    }
+
+    /** Takes room for one task that fits. */
+    fun take(shape: Shape): TaskPlacement {
+        val length = shape.acceleratorsPerTask
+        val start = if (length == 0) 0 else bestRun(usableMask, length, avoidMask)
+        check(start >= 0) { "no run of $length accelerators is free on $worker" }
+        val placement = TaskPlacement(worker, List(length) { start + it })
+        remove(if (length == 0) 0L else runMask(start, length), shape.coresPerTask.toLong(), shape.memoryMiBPerTask)
+        return placement
+    }
+
+    fun remove(mask: Long, cores: Long, memoryMiB: Long) {
+        freeMask = freeMask and mask.inv()
+        freeCores -= cores
+        freeMemoryMiB -= memoryMiB
+        limitMask = limitMask and mask.inv()
+        if (limitCores != Long.MAX_VALUE) limitCores -= cores
+        if (limitMemoryMiB != Long.MAX_VALUE) limitMemoryMiB -= memoryMiB
+    }
+
+    fun add(mask: Long, cores: Long, memoryMiB: Long) {
+        freeMask = freeMask or (mask and allMask)
+        freeCores += cores
+        freeMemoryMiB += memoryMiB
+    }
+
+    fun limitTo(other: Slot) {
+        limitMask = limitMask and other.freeMask
+        limitCores = other.freeCores
+        limitMemoryMiB = other.freeMemoryMiB
+        avoidMask = 0
+    }
+
+    fun copyOf(): Slot {
+        val copy = Slot(worker, rack, position, allMask)
+        copy.freeMask = freeMask
+        copy.freeCores = freeCores
+        copy.freeMemoryMiB = freeMemoryMiB
+        copy.avoidMask = avoidMask
+        copy.limitMask = limitMask
+        copy.limitCores = limitCores
+        copy.limitMemoryMiB = limitMemoryMiB
+        copy.probation = probation
+        return copy
+    }
+
+    /**
+     * Cost of placing [count] tasks of [shape] here: breaking a whole free worker, shortening the longest free run and
+     * leaving small remainders cost fragmentation; overlap with planned guarantees costs completion time.
+     */
+    fun cost(shape: Shape, count: Int, weights: Weights): Double {
+        val taken = shape.acceleratorsPerTask * count
+        val free = java.lang.Long.bitCount(usableMask)
+        val breaksWhole = free > taken && usableMask == allMask
+        val fragments = (free - taken) + (if (breaksWhole) WHOLE_WORKER_COST else 0) + shortening(shape, taken)
+        val overlap = maxOf(0, taken - java.lang.Long.bitCount(usableMask and avoidMask.inv()))
+        return weights.fragmentation * fragments + weights.completionTime * overlap * OVERLAP_COST
+    }
+
+    private fun shortening(shape: Shape, taken: Int): Int {
+        val longest = longestRun(usableMask)
+        return if (shape.acceleratorsPerTask == 0 || taken < longest) 0 else longest - taken
+    }
+
+    companion object {
+        /** What is free on [worker], or all of it if [whole]. */
+        fun of(worker: WorkerRecord, whole: Boolean): Slot {
+            val slot = Slot(worker.name, worker.rack, worker.positionInRack, worker.allMask)
+            slot.freeMask = if (whole) worker.allMask else worker.freeMask
+            slot.freeCores = (if (whole) worker.cores else worker.freeCores).toLong()
+            slot.freeMemoryMiB = if (whole) worker.memoryMiB else worker.freeMemoryMiB
+            return slot
+        }
+
+        /** A broken whole worker costs as much as leaving one more worker of the usual size half used. */
+        private const val WHOLE_WORKER_COST = 4
+
+        /** A preempted task loses its work since the checkpoint, which outweighs a remainder of one accelerator. */
+        private const val OVERLAP_COST = 2
+    }
+}
+
+/** Weights of the two measures, from the bundle's policy. */
+internal data class Weights(val completionTime: Double, val fragmentation: Double)
