Add the configuration state, process settings and the observe package

Cause: the host's assembly needs the state machine of group `configuration`, typed settings, and the health, metrics and dump services.

ConfigurationError.InvalidBundle also carries the typed problems.

Ruled out: decoding the settings with the generated serializer, because it stops at the first unknown, missing or wrong field; digests over all fields including defaults, because a later version that adds a field with a default would compute another digest for the same bundle.

--- /dev/null
+++ b/core/src/main/kotlin/org/auburnlever/configuration/ConfigurationApply.kt
@@ -0,0 +1,58 @@
+package org.auburnlever.configuration
+
+/**
+ * Applies a committed command; [nowMillis] is the time that the leader stamped it with.
+ *
+ * A resend of a digest that was accepted gets the first outcome, whoever sends it.
+ */
+fun ConfigurationState.apply(command: ConfigurationCommand, nowMillis: Long): ConfigurationApplied =
+    when (command) {
+        is ConfigurationCommand.Propose -> propose(command, nowMillis)
+        is ConfigurationCommand.SignOff -> signOff(command, nowMillis)
+    }
+
+private fun ConfigurationState.propose(command: ConfigurationCommand.Propose, nowMillis: Long): ConfigurationApplied {
+    val digest = command.bundle.digestHex()
+    val settled = settled(digest) ?: versionConflict(command.bundle.version)
+    return when {
+        settled != null -> ConfigurationApplied(this, settled)
+        else -> refusal(command, digest)?.let { refused(it) } ?: add(command, digest, nowMillis)
+    }
+}
+
+private fun ConfigurationState.signOff(command: ConfigurationCommand.SignOff, nowMillis: Long): ConfigurationApplied {
+    val settled = settled(command.digestHex)
+    val proposal = proposals.firstOrNull { it.digestHex == command.digestHex }
+    val badSignature = signatureError(operators, command.operator, command.digestHex, command.signatureHex)
+    return when {
+        settled != null -> ConfigurationApplied(this, settled)
+        badSignature != null -> refused(badSignature)
+        proposal != null -> sign(proposal, command.operator, nowMillis)
+        else -> refused(ConfigurationError.UnknownProposal("no open proposal has digest ${command.digestHex}"))
+    }
+}
+
+/** The lasting answer for a digest that was accepted or that lost against an accepted one. */
+private fun ConfigurationState.settled(digestHex: String): ConfigurationReply? {
+    val won = history.firstOrNull { it.digestHex == digestHex }
+    val lostAgainst = history.firstOrNull { digestHex in it.lostDigests }
+    return when {
+        won != null -> ConfigurationReply.Accepted(won.version, won.digestHex)
+        lostAgainst != null -> ConfigurationReply.Conflict(version, lostAgainst.digestHex)
+        else -> null
+    }
+}
+
+private fun ConfigurationState.versionConflict(proposed: Long): ConfigurationReply? {
+    if (proposed == version + 1) return null
+    return ConfigurationReply.Conflict(version, history.firstOrNull { it.version == proposed }?.digestHex)
+}
+
+private fun ConfigurationState.refusal(command: ConfigurationCommand.Propose, digest: String): ConfigurationError? {
+    val badSignature = signatureError(operators, command.operator, digest, command.signatureHex)
+    if (badSignature != null || proposals.any { it.digestHex == digest }) return badSignature
+    return command.bundle.problems(accepted?.bundle).ifEmpty { null }?.let { ConfigurationError.InvalidBundle.of(it) }
+}
+
+private fun ConfigurationState.refused(error: ConfigurationError) =
+    ConfigurationApplied(this, ConfigurationReply.Refused(error))
--- a/core/src/main/kotlin/org/auburnlever/configuration/ConfigurationCommand.kt
+++ b/core/src/main/kotlin/org/auburnlever/configuration/ConfigurationCommand.kt
@@ -54,7 +54,15 @@
     /** A field of the bundle is out of range or contradicts another. */
     @Serializable
     @SerialName("invalid_bundle")
-    data class InvalidBundle(override val message: String) : ConfigurationError
+    data class InvalidBundle(
+        override val message: String,
+        val problems: List<FieldProblem> = emptyList(),
+    ) : ConfigurationError {
+        companion object {
+            /** Makes an error that lists all [problems], one a line. */
+            fun of(problems: List<FieldProblem>): InvalidBundle = InvalidBundle(problems.joinToString("\n"), problems)
+        }
+    }
 
     /** The signature does not match or the operator is not known. */
     @Serializable
--- /dev/null
+++ b/core/src/main/kotlin/org/auburnlever/world/NameRule.kt
@@ -0,0 +1,12 @@
+package org.auburnlever.world
+
+/** The rule for names of domains, regions, hosts, accounts, services and operators. */
+object NameRule {
+    /** Regular expression that a whole name must match; names are also used in paths, metrics and keys. */
+    const val PATTERN: String = "[a-z0-9][a-z0-9-]{0,62}"
+
+    private val regex = Regex(PATTERN)
+
+    /** Says whether [text] is a permitted name. */
+    fun permits(text: String): Boolean = regex.matches(text)
+}
--- /dev/null
+++ b/node/src/main/kotlin/org/auburnlever/entry/OperatorAccess.kt
@@ -0,0 +1,25 @@
+package org.auburnlever.entry
+
+import com.linecorp.armeria.common.HttpResponse
+import com.linecorp.armeria.server.ServiceRequestContext
+import org.auburnlever.configuration.Bundle
+import org.auburnlever.wire.ErrorCode
+
+/**
+ * Decides who may read the state of the system: holders of a platform token.
+ *
+ * Before the first bundle there are no tokens; then only callers on the host itself may read, so that a start that
+ * makes no progress can be examined.
+ */
+class OperatorAccess(private val authenticator: Authenticator, private val inForce: () -> Bundle?) {
+    /** Returns the answer for a caller who may not read, null for one who may. */
+    fun refusal(ctx: ServiceRequestContext): HttpResponse? =
+        when {
+            inForce() == null -> if (ctx.remoteAddress().address.isLoopbackAddress) null else noTokens()
+            authenticator.isPlatform(ctx.request().headers()) -> null
+            else -> refusal(ErrorCode.UNAUTHORIZED, "a bearer token of the platform is required")
+        }
+
+    private fun noTokens(): HttpResponse =
+        refusal(ErrorCode.NO_CONFIGURATION, "this host has no bundle yet; only callers on the host itself may read")
+}
--- /dev/null
+++ b/node/src/main/kotlin/org/auburnlever/observe/DumpService.kt
@@ -0,0 +1,26 @@
+package org.auburnlever.observe
+
+import com.linecorp.armeria.common.HttpRequest
+import com.linecorp.armeria.common.HttpResponse
+import com.linecorp.armeria.common.HttpStatus
+import com.linecorp.armeria.common.MediaType
+import com.linecorp.armeria.server.HttpService
+import com.linecorp.armeria.server.ServiceRequestContext
+import kotlinx.serialization.json.JsonObject
+import org.auburnlever.entry.OperatorAccess
+import java.util.concurrent.CompletableFuture
+
+/**
+ * Answers with the state of every named part of the process; mount it at `Paths.DUMP`.
+ *
+ * The parts are collected on the blocking executor, because a large state would hold up an event loop.
+ */
+class DumpService(private val access: OperatorAccess, private val parts: Map<String, Dumpable>) : HttpService {
+    override fun serve(ctx: ServiceRequestContext, req: HttpRequest): HttpResponse =
+        access.refusal(ctx) ?: HttpResponse.of(CompletableFuture.supplyAsync(::answer, ctx.blockingTaskExecutor()))
+
+    /** The state now, by name of the part. */
+    fun collect(): JsonObject = JsonObject(parts.mapValues { it.value.dump() })
+
+    private fun answer(): HttpResponse = HttpResponse.of(HttpStatus.OK, MediaType.JSON, collect().toString())
+}
--- /dev/null
+++ b/node/src/main/kotlin/org/auburnlever/settings/Settings.kt
@@ -0,0 +1,69 @@
+package org.auburnlever.settings
+
+import org.auburnlever.configuration.Operator
+import org.auburnlever.peer.GroupName
+import org.auburnlever.transport.Peer
+import org.auburnlever.world.HostName
+import java.nio.file.Path
+
+/**
+ * What one `auburnd` process is told by its settings file; nothing in it changes while the process runs.
+ *
+ * [hosts] lists every host of the deployment including this one, which is [self]. [httpAddress] and [peerAddress] are
+ * the IP addresses that the process listens on.
+ */
+data class Settings(
+    val self: Peer,
+    val httpAddress: String,
+    val httpPort: Int,
+    val peerAddress: String,
+    val dataFolder: Path?,
+    val sharedKeyFile: Path,
+    val hosts: List<Peer>,
+    val groups: List<GroupSettings>,
+    val genesisOperators: List<Operator>,
+    val genesisThreshold: Int,
+    val log: LogSettings,
+    val limits: ProcessLimits,
+) {
+    /** All hosts but this one. */
+    val others: List<Peer> get() = hosts.filter { it.host != self.host }
+}
+
+/** The replicas with which a group of hosts starts; later changes go through the group's log. */
+data class GroupSettings(val name: GroupName, val voters: List<HostName>, val witnesses: List<HostName>)
+
+/** How the process writes its log. */
+data class LogSettings(val format: LogFormat, val level: LogLevel)
+
+/** Layout of log lines. */
+enum class LogFormat {
+    /** One line of text for each event. */
+    TEXT,
+
+    /** One JSON object a line. */
+    JSON,
+}
+
+/** Least severity that is logged. */
+enum class LogLevel {
+    DEBUG,
+    INFO,
+    WARN,
+    ERROR,
+}
+
+/**
+ * Bounds of one process.
+ *
+ * [shutdownLimitMillis] bounds how long a graceful shutdown waits for requests in progress. [ioThreads] is the number
+ * of event loops for HTTP. A request without a timeout gets [defaultRequestTimeoutMillis]; a longer one than
+ * [maxRequestTimeoutMillis] is refused.
+ */
+data class ProcessLimits(
+    val shutdownLimitMillis: Long = 30_000,
+    val ioThreads: Int = 2,
+    val maxHttpConnections: Int = 2_000,
+    val defaultRequestTimeoutMillis: Long = 10_000,
+    val maxRequestTimeoutMillis: Long = 600_000,
+)
--- /dev/null
+++ b/node/src/main/kotlin/org/auburnlever/settings/SettingsReader.kt
@@ -0,0 +1,80 @@
+package org.auburnlever.settings
+
+import kotlinx.serialization.json.JsonArray
+import kotlinx.serialization.json.JsonElement
+import kotlinx.serialization.json.JsonNull
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.JsonPrimitive
+import kotlinx.serialization.json.longOrNull
+import org.auburnlever.configuration.ProblemCollector
+
+/**
+ * Reads the fields of one JSON object and collects every problem instead of stopping at the first.
+ *
+ * A field with a problem reads as a harmless value of its type; the caller must not use the result while
+ * [collector] holds problems.
+ */
+internal class SettingsReader(
+    private val path: String,
+    private val json: JsonObject,
+    val collector: ProblemCollector,
+) {
+    private val known = mutableSetOf<String>()
+
+    /** Full path of the field [key]. */
+    fun pathOf(key: String): String = if (path.isEmpty()) key else "$path.$key"
+
+    /** Reads a string; without [default] the field is required. */
+    fun string(key: String, default: String? = null): String = optionalString(key) ?: default ?: missing(key, "")
+
+    /** Reads a string that may be left out. */
+    fun optionalString(key: String): String? {
+        val value = field(key) ?: return null
+        val text = (value as? JsonPrimitive)?.takeIf { it.isString }?.content
+        if (text == null) collector.add(pathOf(key), value, "a string")
+        return text.orEmpty()
+    }
+
+    /** Reads a whole number in [range]; without [default] the field is required. */
+    fun number(key: String, range: LongRange, default: Long? = null): Long {
+        val value = field(key) ?: return default ?: missing(key, range.first)
+        val number = (value as? JsonPrimitive)?.takeUnless { it.isString }?.longOrNull
+        if (number == null) collector.add(pathOf(key), value, "a whole number from ${range.first} to ${range.last}")
+        number?.let { collector.requireRange(pathOf(key), it, range) }
+        return number ?: range.first
+    }
+
+    /** Reads a list of objects; each is read by [read] and must have no other fields. */
+    fun <T> objects(key: String, read: SettingsReader.() -> T): List<T> {
+        val elements = elements(key, required = true)
+        return elements.mapIndexedNotNull { index, element -> element(pathOf("$key[$index]"), element, read) }
+    }
+
+    /** Reports every field that was not read. */
+    fun refuseUnknownFields() {
+        (json.keys - known).forEach { collector.add(pathOf(it), "this unknown field", known.sorted().joinToString()) }
+    }
+
+    private fun <T> element(at: String, element: JsonElement, read: SettingsReader.() -> T): T? {
+        if (element !is JsonObject) collector.add(at, element, "an object")
+        val reader = SettingsReader(at, element as? JsonObject ?: return null, collector)
+        return reader.read().also { reader.refuseUnknownFields() }
+    }
+
+    /** Reads a list; an absent one is empty. */
+    fun elements(key: String, required: Boolean): List<JsonElement> {
+        val value = field(key) ?: return if (required) missing(key, emptyList()) else emptyList()
+        if (value !is JsonArray) collector.add(pathOf(key), value, "a list")
+        return value as? JsonArray ?: emptyList()
+    }
+
+    private fun field(key: String): JsonElement? {
+        known += key
+        return json[key].takeUnless { it is JsonNull }
+    }
+
+    private fun <T> missing(key: String, placeholder: T): T {
+        collector.add(pathOf(key), "a missing field", "a value, because it has no default")
+        return placeholder
+    }
+}
