--- /dev/null
+++ b/node/src/main/kotlin/org/auburnlever/entry/ConfigurationChanges.kt
@@ -0,0 +1,57 @@
+package org.auburnlever.entry
+
+import com.github.michaelbull.result.fold
+import com.linecorp.armeria.common.HttpResponse
+import org.auburnlever.configuration.Bundle
+import org.auburnlever.configuration.ConfigurationCommand
+import org.auburnlever.configuration.ConfigurationError
+import org.auburnlever.configuration.Operator
+import org.auburnlever.configuration.digestHex
+import org.auburnlever.configuration.signatureError
+import org.auburnlever.host.ConfigurationClient
+import org.auburnlever.world.DomainName
+
+/**
+ * Checks changes of the configuration on the host that receives them and submits those that pass.
+ *
+ * The signature is checked here too, so that strangers can't fill the replicated log. A host that lags behind may
+ * refuse an operator who was just added; the operator then repeats the change there or sends it to another host.
+ */
+class ConfigurationChanges(
+    private val client: ConfigurationClient,
+    private val genesisOperators: List<Operator>,
+    private val announcedAccelerators: () -> Map<DomainName, Int>,
+    private val timeoutMillis: Long = DEFAULT_TIMEOUT_MILLIS,
+) {
+    /** Submits a proposal and answers with its state. */
+    suspend fun propose(command: ConfigurationCommand.Propose): HttpResponse {
+        val digest = command.bundle.digestHex()
+        val error = signatureError(operators(), command.operator, digest, command.signatureHex)
+            ?: capacityError(command.bundle)
+        return if (error == null) submit(command) else refusal(error)
+    }
+
+    /** Submits a sign-off and answers with the state of its proposal. */
+    suspend fun signOff(command: ConfigurationCommand.SignOff): HttpResponse {
+        val error = signatureError(operators(), command.operator, command.digestHex, command.signatureHex)
+        return if (error == null) submit(command) else refusal(error)
+    }
+
+    private fun operators(): List<Operator> = client.inForce?.operators ?: genesisOperators
+
+    private fun capacityError(bundle: Bundle): ConfigurationError? {
+        val inForce = client.inForce
+        // A resend or a late proposal is not checked: it gets its lasting answer from the log.
+        if (bundle.version <= (inForce?.version ?: 0)) return null
+        val problems = bundle.capacityProblems(inForce, announcedAccelerators())
+        return problems.ifEmpty { null }?.let { ConfigurationError.InvalidBundle.of(it) }
+    }
+
+    private suspend fun submit(command: ConfigurationCommand): HttpResponse =
+        client.submit(command, timeoutMillis).fold({ it.toHttpResponse() }, { it.toHttpResponse() })
+
+    private companion object {
+        /** Longer than an election (at most 2 s), so that a change survives the loss of a leader. */
+        const val DEFAULT_TIMEOUT_MILLIS = 5_000L
+    }
+}
--- /dev/null
+++ b/node/src/main/kotlin/org/auburnlever/entry/SuspendingAnswer.kt
@@ -0,0 +1,19 @@
+package org.auburnlever.entry
+
+import com.linecorp.armeria.common.HttpRequest
+import com.linecorp.armeria.common.HttpResponse
+import com.linecorp.armeria.server.ServiceRequestContext
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.asCoroutineDispatcher
+import kotlinx.coroutines.future.await
+import kotlinx.coroutines.future.future
+
+/** Answers with the result of [answer], which runs on the request's event loop and may suspend. */
+internal fun ServiceRequestContext.answer(answer: suspend () -> HttpResponse): HttpResponse =
+    HttpResponse.of(CoroutineScope(eventLoop().asCoroutineDispatcher()).future { answer() })
+
+/** Reads the whole body as UTF-8 and answers with the result of [answer]. */
+internal fun ServiceRequestContext.answerBody(
+    request: HttpRequest,
+    answer: suspend (body: String) -> HttpResponse,
+): HttpResponse = answer { answer(request.aggregate().await().contentUtf8()) }
