--- /dev/null
+++ b/auburnctl/src/main/kotlin/org/auburnlever/ctl/ExitCode.kt
@@ -0,0 +1,16 @@
+package org.auburnlever.ctl
+
+/** Exit code of `auburnctl`; scripts rely on the numbers. */
+enum class ExitCode(val code: Int) {
+    /** Done, or the state that was asked for is printed. */
+    SUCCESS(code = 0),
+
+    /** Refused, failed or not found; a change that was refused has no effect. */
+    REFUSED(code = 1),
+
+    /** The command line or a file named on it can't be used; nothing was sent. */
+    USAGE(code = 2),
+
+    /** A change was sent and may have taken effect; the same command can be repeated safely. */
+    UNKNOWN(code = 3),
+}
--- /dev/null
+++ b/auburnctl/src/main/kotlin/org/auburnlever/ctl/ServerAnswer.kt
@@ -0,0 +1,29 @@
+package org.auburnlever.ctl
+
+import com.linecorp.armeria.common.HttpStatus
+
+/** What came of sending a request to the servers in turn. */
+sealed interface ServerAnswer {
+    /**
+     * A server answered. [earlierLost] says that a server tried before may have taken the request without answering.
+     */
+    class Answered(
+        val server: String,
+        val status: HttpStatus,
+        val outcome: String?,
+        val body: ByteArray,
+        val earlierLost: Boolean,
+    ) : ServerAnswer {
+        /** The body as UTF-8. */
+        val text: String get() = body.decodeToString()
+
+        /** Whether the server did what it was asked for. */
+        val isSuccess: Boolean get() = status.isSuccess
+
+        /** Whether another host may take the request: this one starts, shuts down or can't reach a leader. */
+        val wasTurnedAway: Boolean get() = status == HttpStatus.SERVICE_UNAVAILABLE && outcome == "refused"
+    }
+
+    /** No server answered; [maybeSent] is false only if none can have received the request. */
+    data class None(val message: String, val maybeSent: Boolean) : ServerAnswer
+}
--- /dev/null
+++ b/auburnctl/src/main/kotlin/org/auburnlever/ctl/ServerClient.kt
@@ -0,0 +1,96 @@
+package org.auburnlever.ctl
+
+import com.linecorp.armeria.client.ClientFactory
+import com.linecorp.armeria.client.UnprocessedRequestException
+import com.linecorp.armeria.client.WebClient
+import com.linecorp.armeria.common.AggregatedHttpResponse
+import com.linecorp.armeria.common.HttpData
+import com.linecorp.armeria.common.HttpMethod
+import com.linecorp.armeria.common.HttpRequest
+import com.linecorp.armeria.common.MediaType
+import com.linecorp.armeria.common.RequestHeaders
+import org.auburnlever.wire.Headers
+import java.util.concurrent.CompletionException
+
+/** A request to the HTTP interface. */
+class ServerRequest(
+    val method: HttpMethod,
+    val path: String,
+    val body: ByteArray = ByteArray(0),
+    val contentType: MediaType = MediaType.JSON,
+    val headers: Map<String, String> = emptyMap(),
+)
+
+/**
+ * Sends requests to [servers] in their order until one takes the request; each has [timeoutMillis] to answer.
+ *
+ * Sending a request again is safe: changes are identified by a bundle's digest, a job id or the caller's key.
+ */
+class ServerClient(
+    private val servers: List<String>,
+    private val token: String?,
+    private val timeoutMillis: Long,
+) : AutoCloseable {
+    private val factory = ClientFactory.builder()
+        .workerGroup(1)
+        .connectTimeoutMillis(minOf(timeoutMillis, MAX_CONNECT_MILLIS))
+        .build()
+
+    /** Returns the first answer of a server that took the request, else the last answer. */
+    fun send(request: ServerRequest): ServerAnswer {
+        val failures = mutableListOf<ServerAnswer.None>()
+        var turnedAway: ServerAnswer.Answered? = null
+        for (server in servers) {
+            when (val attempt = attempt(server, request, failures.any { it.maybeSent })) {
+                is ServerAnswer.None -> failures += attempt
+                is ServerAnswer.Answered -> if (attempt.wasTurnedAway) turnedAway = attempt else return attempt
+            }
+        }
+        val maybeSent = failures.any { it.maybeSent }
+        return turnedAway?.takeIf { it.earlierLost == maybeSent }
+            ?: ServerAnswer.None(failures.joinToString("; ") { it.message }, maybeSent)
+    }
+
+    override fun close() = factory.close()
+
+    private fun attempt(server: String, request: ServerRequest, earlierLost: Boolean): ServerAnswer =
+        try {
+            val response = client(server).execute(toHttp(request)).aggregate().join()
+            answered(server, response, earlierLost)
+        } catch (e: CompletionException) {
+            val cause = e.cause
+            val reason = "${(cause ?: e).javaClass.simpleName} after at most $timeoutMillis ms"
+            ServerAnswer.None("$server: $reason", maybeSent = cause !is UnprocessedRequestException)
+        }
+
+    private fun answered(server: String, response: AggregatedHttpResponse, earlierLost: Boolean) =
+        ServerAnswer.Answered(
+            server = server,
+            status = response.status(),
+            outcome = response.headers().get(Headers.OUTCOME),
+            body = response.content().array(),
+            earlierLost = earlierLost,
+        )
+
+    private fun client(server: String): WebClient =
+        WebClient.builder(if ("://" in server) server else "http://$server")
+            .factory(factory)
+            .responseTimeoutMillis(timeoutMillis)
+            .maxResponseLength(MAX_RESPONSE_BYTES)
+            .build()
+
+    private fun toHttp(request: ServerRequest): HttpRequest {
+        val headers = RequestHeaders.builder(request.method, request.path)
+        if (request.body.isNotEmpty()) headers.contentType(request.contentType)
+        token?.let { headers.add("authorization", "Bearer $it") }
+        request.headers.forEach { (name, value) -> headers.add(name, value) }
+        return HttpRequest.of(headers.build(), HttpData.wrap(request.body))
+    }
+
+    private companion object {
+        const val MAX_CONNECT_MILLIS = 3_000L
+
+        /** A dump of a host with all tasks of a failure domain stays below this. */
+        const val MAX_RESPONSE_BYTES = 64L * 1_024 * 1_024
+    }
+}
--- /dev/null
+++ b/auburnd/src/main/kotlin/org/auburnlever/daemon/Daemon.kt
@@ -0,0 +1,56 @@
+package org.auburnlever.daemon
+
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.flatMap
+import com.github.michaelbull.result.fold
+import com.github.michaelbull.result.map
+import org.auburnlever.observe.configureLogging
+import org.auburnlever.settings.Settings
+import org.auburnlever.settings.SettingsError
+import org.auburnlever.settings.loadSettings
+import org.auburnlever.settings.loadSharedKey
+import java.io.PrintStream
+import java.nio.file.Path
+
+/** Runs the command line [args] with [actions]; results go to [out], problems to [err]. */
+fun runAuburnd(args: Array<String>, actions: DaemonActions, out: PrintStream, err: PrintStream): ExitCode {
+    val arguments = DaemonArguments()
+    return try {
+        arguments.parse(args)
+        load(Path.of(arguments.settings)).fold(
+            { (settings, key) -> act(arguments, actions, settings, key, Output(out, err)) },
+            { Output(out, err).fail(ExitCode.USAGE, it.message) },
+        )
+    } catch (e: UsageExit) {
+        (if (e.isHelp) out else err).println(e.message)
+        if (e.isHelp) ExitCode.SUCCESS else ExitCode.USAGE
+    }
+}
+
+private fun load(file: Path): Result<Pair<Settings, ByteArray>, SettingsError> =
+    loadSettings(file).flatMap { settings -> loadSharedKey(settings.sharedKeyFile).map { settings to it } }
+
+private fun act(
+    arguments: DaemonArguments,
+    actions: DaemonActions,
+    settings: Settings,
+    sharedKey: ByteArray,
+    output: Output,
+): ExitCode {
+    if (arguments.checkSettings) return output.succeed("the settings of host ${settings.self.host} are valid")
+    configureLogging(settings.log)
+    val result = if (arguments.format) actions.format(settings) else actions.run(settings, sharedKey)
+    return result.fold({ ExitCode.SUCCESS }, { output.fail(ExitCode.REFUSED, it) })
+}
+
+private class Output(private val out: PrintStream, private val err: PrintStream) {
+    fun succeed(message: String): ExitCode {
+        out.println(message)
+        return ExitCode.SUCCESS
+    }
+
+    fun fail(code: ExitCode, message: String): ExitCode {
+        message.lines().forEach { err.println("auburnd: $it") }
+        return code
+    }
+}
--- /dev/null
+++ b/auburnd/src/main/kotlin/org/auburnlever/daemon/DaemonArguments.kt
@@ -0,0 +1,46 @@
+package org.auburnlever.daemon
+
+import kotlinx.cli.ArgParser
+import kotlinx.cli.ArgType
+import kotlinx.cli.default
+import kotlinx.cli.required
+
+/** The command line of `auburnd`; reading a property before [parse] fails. */
+internal class DaemonArguments {
+    private val parser = ArgParser("auburnd").apply { throwOnUsageError() }
+
+    val settings by parser.option(
+        ArgType.String,
+        "settings",
+        description = "Settings file: JSON with comments",
+    ).required()
+
+    val checkSettings by parser.option(
+        ArgType.Boolean,
+        "check-settings",
+        description = "Check the settings and the shared key, then exit",
+    ).default(false)
+
+    val format by parser.option(
+        ArgType.Boolean,
+        "format",
+        description = "Create the data folder for the first start of this host, then exit",
+    ).default(false)
+
+    fun parse(args: Array<String>) {
+        parser.parse(args)
+    }
+}
+
+/** Ends parsing: the command line is wrong, or help was asked for ([isHelp]). */
+internal class UsageExit(override val message: String, val isHelp: Boolean) : RuntimeException(message)
+
+/**
+ * Makes the parser throw [UsageExit] instead of ending the process with code 127.
+ *
+ * The property is public in the byte code and internal in Kotlin, so its setter is called by name.
+ */
+private fun ArgParser.throwOnUsageError() {
+    val terminate = { message: String, code: Int -> throw UsageExit(message, isHelp = code == 0) }
+    ArgParser::class.java.getMethod("setOutputAndTerminate\$kotlinx_cli", Function2::class.java).invoke(this, terminate)
+}
