--- /dev/null
+++ b/standin/src/main/kotlin/org/auburnlever/standin/ControlServer.kt
@@ -0,0 +1,59 @@
+package org.auburnlever.standin
+
+import com.linecorp.armeria.common.HttpRequest
+import com.linecorp.armeria.common.HttpResponse
+import com.linecorp.armeria.common.HttpStatus
+import com.linecorp.armeria.common.MediaType
+import com.linecorp.armeria.server.Server
+import com.linecorp.armeria.server.ServerBuilder
+import io.netty.channel.EventLoopGroup
+import kotlinx.serialization.KSerializer
+import kotlinx.serialization.SerializationException
+import org.auburnlever.codec.Codec
+import java.net.InetAddress
+import java.net.InetSocketAddress
+
+/** HTTP server through which tests read a stand-in's counters and change its behaviour. */
+internal class ControlServer(port: Int, workers: EventLoopGroup, routes: ServerBuilder.() -> Unit) {
+    private val server: Server = Server.builder()
+        .http(InetSocketAddress(InetAddress.getLoopbackAddress(), port))
+        .workerGroup(workers, false)
+        .apply(routes)
+        .build()
+
+    /** The port in use, once started. */
+    val port: Int get() = server.activeLocalPort()
+
+    /** Opens the port. */
+    fun start() {
+        server.start().join()
+    }
+
+    /** Begins to close the port. */
+    fun stop() {
+        server.stop()
+    }
+}
+
+/** Answers with [value] as JSON. */
+internal fun <T> jsonResponse(serializer: KSerializer<T>, value: T): HttpResponse =
+    HttpResponse.of(HttpStatus.OK, MediaType.JSON, Codec.json.encodeToString(serializer, value))
+
+/** Answers that the named part does not exist. */
+internal fun notFound(): HttpResponse = HttpResponse.of(HttpStatus.NOT_FOUND)
+
+/** Answers that the change is in effect. */
+internal fun done(): HttpResponse = HttpResponse.of(HttpStatus.NO_CONTENT)
+
+/** Decodes the body and hands it to [change], which returns null when the named part does not exist. */
+internal fun <T> onJson(request: HttpRequest, serializer: KSerializer<T>, change: (T) -> Unit?): HttpResponse =
+    HttpResponse.of(
+        request.aggregate().thenApply { aggregated ->
+            try {
+                val value = Codec.json.decodeFromString(serializer, aggregated.contentUtf8())
+                change(value)?.let { done() } ?: notFound()
+            } catch (e: SerializationException) {
+                HttpResponse.of(HttpStatus.BAD_REQUEST, MediaType.PLAIN_TEXT_UTF_8, e.message.orEmpty())
+            }
+        },
+    )
--- /dev/null
+++ b/standin/src/main/kotlin/org/auburnlever/standin/EndpointService.kt
@@ -0,0 +1,109 @@
+package org.auburnlever.standin
+
+import com.linecorp.armeria.common.AggregatedHttpRequest
+import com.linecorp.armeria.common.ClosedSessionException
+import com.linecorp.armeria.common.HttpData
+import com.linecorp.armeria.common.HttpRequest
+import com.linecorp.armeria.common.HttpResponse
+import com.linecorp.armeria.common.HttpStatus
+import com.linecorp.armeria.common.MediaType
+import com.linecorp.armeria.common.ResponseHeaders
+import com.linecorp.armeria.server.AbstractHttpService
+import com.linecorp.armeria.server.ServiceRequestContext
+import org.auburnlever.wire.Headers
+import java.time.Duration
+import java.util.concurrent.atomic.AtomicInteger
+import java.util.concurrent.atomic.AtomicLong
+import java.util.concurrent.atomic.AtomicReference
+
+/** The request path of one stand-in endpoint. */
+internal class EndpointService(
+    private val name: String,
+    private val slots: Int,
+    private val runs: RunCounts,
+    behaviour: EndpointBehaviour,
+) : AbstractHttpService() {
+    /** How requests are treated from now on. */
+    val behaviour = AtomicReference(behaviour)
+
+    /** Requests that are being served now. */
+    val inFlight = AtomicInteger()
+
+    /** The most requests that were served at the same time. */
+    val maxInFlight = AtomicInteger()
+
+    /** Requests that arrived while all slots were taken. */
+    val overSlots = AtomicInteger()
+
+    /** Requests that ran. */
+    val ran = AtomicLong()
+
+    /** Requests that arrived, and when the last one did. */
+    val received = AtomicLong()
+    val lastArrivalMillis = AtomicLong()
+
+    override fun doPost(ctx: ServiceRequestContext, req: HttpRequest): HttpResponse {
+        ctx.clearRequestTimeout()
+        received.incrementAndGet()
+        lastArrivalMillis.set(System.currentTimeMillis())
+        val now = inFlight.incrementAndGet()
+        maxInFlight.accumulateAndGet(now, ::maxOf)
+        if (now > slots) overSlots.incrementAndGet()
+        ctx.log().whenComplete().thenRun { inFlight.decrementAndGet() }
+        return HttpResponse.of(req.aggregate().thenApply { handle(it, now) })
+    }
+
+    private fun handle(request: AggregatedHttpRequest, atOnce: Int): HttpResponse {
+        val current = behaviour.get()
+        val seen = request.toEndpointRequest()
+        return if (current.runs(atOnce, slots)) run(current, request, seen) else notRun(seen).toHttpResponse()
+    }
+
+    private fun run(current: EndpointBehaviour, request: AggregatedHttpRequest, seen: EndpointRequest): HttpResponse {
+        ran.incrementAndGet()
+        val run = runs.add(request.names(seen))
+        val response = current.reaction(seen, run).toHttpResponse()
+        if (current.delayMillis == 0L) return response
+        return HttpResponse.delayed(response, Duration.ofMillis(current.delayMillis))
+    }
+
+    private fun AggregatedHttpRequest.toEndpointRequest() = EndpointRequest(
+        endpoint = name,
+        requestId = headers().get(Headers.REQUEST_ID).orEmpty(),
+        bodyBytes = content().length(),
+        bodySha256Hex = sha256Hex(content().array()),
+    )
+
+    private fun AggregatedHttpRequest.names(seen: EndpointRequest): List<String> =
+        listOfNotNull(headers().get(Headers.IDEMPOTENCY_KEY), seen.requestId, seen.bodySha256Hex).distinct()
+}
+
+private fun EndpointReaction.toHttpResponse(): HttpResponse =
+    when (this) {
+        is EndpointReaction.Answer -> answer(this)
+        is EndpointReaction.Error -> error(this)
+        EndpointReaction.Silence -> HttpResponse.streaming()
+    }
+
+private fun answer(answer: EndpointReaction.Answer): HttpResponse {
+    val body = HttpData.ofUtf8(answer.json)
+    val headers = ResponseHeaders.builder(HttpStatus.OK)
+        .contentType(MediaType.JSON)
+        .contentLength(body.length().toLong())
+        .add(Headers.REQUEST_ID, answer.requestId)
+        .build()
+    if (answer.whole) return HttpResponse.of(headers, body)
+    val response = HttpResponse.streaming()
+    response.write(headers)
+    response.write(HttpData.wrap(body.array(), 0, body.length() / 2))
+    response.whenConsumed().thenRun { response.close(ClosedSessionException.get()) }
+    return response
+}
+
+private fun error(error: EndpointReaction.Error): HttpResponse {
+    val headers = ResponseHeaders.builder(HttpStatus.valueOf(error.status))
+        .contentType(MediaType.PLAIN_TEXT_UTF_8)
+        .add(Headers.REQUEST_ID, error.requestId)
+    if (error.notRun) headers.add(Headers.NOT_RUN, "true")
+    return HttpResponse.of(headers.build(), HttpData.ofUtf8(if (error.notRun) "not run" else "failed on request"))
+}
--- /dev/null
+++ b/standin/src/main/kotlin/org/auburnlever/standin/EndpointsProcess.kt
@@ -0,0 +1,113 @@
+package org.auburnlever.standin
+
+import com.linecorp.armeria.common.HttpMethod
+import com.linecorp.armeria.common.util.EventLoopGroups
+import com.linecorp.armeria.server.ServerBuilder
+import io.github.oshai.kotlinlogging.KotlinLogging
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.isActive
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.runBlocking
+import kotlinx.coroutines.withTimeoutOrNull
+import kotlinx.serialization.builtins.ListSerializer
+import kotlinx.serialization.builtins.MapSerializer
+import kotlinx.serialization.builtins.serializer
+
+/** Several stand-in endpoints in one process, with a common control server and common run counts. */
+internal class EndpointsProcess(
+    settings: List<EndpointSettings>,
+    entryAddresses: List<String>,
+    token: String,
+    private val lingerMillis: Long,
+    controlPort: Int,
+) {
+    private val log = KotlinLogging.logger {}
+    private val loops = EventLoopGroups.newEventLoopGroup(1)
+    private val factory = entryClientFactory()
+    private val runs = RunCounts()
+    private val endpoints = settings.associate {
+        it.name to StandInEndpoint(it, runs, EntryClient(entryAddresses, token, factory, TIMEOUT_MILLIS), loops)
+    }
+    private val control = ControlServer(controlPort, loops) { routes() }
+    private val scope = CoroutineScope(Dispatchers.Default.limitedParallelism(1) + Job())
+
+    /** Port of the control server. */
+    val controlPort: Int get() = control.port
+
+    /** Opens all ports and begins to announce. */
+    fun start() {
+        endpoints.values.forEach { it.start() }
+        control.start()
+        endpoints.values.forEach { endpoint ->
+            scope.launch {
+                while (isActive) {
+                    endpoint.announce()
+                    delay(ANNOUNCE_EVERY_MILLIS)
+                }
+            }
+        }
+        log.info { "${endpoints.size} endpoints, control port ${control.port}" }
+    }
+
+    /**
+     * Announces leaving and waits until the requests are done and no entry host sends new ones.
+     *
+     * Entry hosts may send new requests for up to 3 s after the announcement, so the ports stay open for that long.
+     */
+    fun shutDown() = runBlocking {
+        log.info { "leaving" }
+        endpoints.values.forEach { it.leave() }
+        endpoints.values.forEach { it.announce() }
+        delay(lingerMillis)
+        val idle = withTimeoutOrNull(DRAIN_LIMIT_MILLIS) { awaitIdle() }
+        if (idle == null) log.warn { "requests still in progress after $DRAIN_LIMIT_MILLIS ms" }
+        close()
+        log.info { "stopped" }
+    }
+
+    /** Closes all ports without waiting for requests. */
+    fun close() {
+        scope.cancel()
+        endpoints.values.forEach { it.stop() }
+        control.stop()
+        factory.closeAsync()
+        loops.shutdownGracefully()
+    }
+
+    private suspend fun awaitIdle() {
+        while (endpoints.values.any { it.requests.inFlight.get() > 0 }) delay(POLL_MILLIS)
+    }
+
+    private fun ServerBuilder.routes() {
+        service("/control/endpoints") { _, _ ->
+            jsonResponse(ListSerializer(EndpointView.serializer()), endpoints.values.map { it.view() })
+        }
+        service("/control/endpoints/{name}") { ctx, _ ->
+            endpoints[ctx.pathParam("name")]?.let { jsonResponse(EndpointView.serializer(), it.view()) } ?: notFound()
+        }
+        route().put("/control/endpoints/{name}/behaviour").build { ctx, req ->
+            val endpoint = endpoints[ctx.pathParam("name")]
+            onJson(req, EndpointBehaviour.serializer()) { endpoint?.requests?.behaviour?.set(it) }
+        }
+        route().methods(HttpMethod.POST).path("/control/endpoints/{name}/leave").build { ctx, _ ->
+            endpoints[ctx.pathParam("name")]?.leave()?.let { done() } ?: notFound()
+        }
+        service("/control/runs") { _, _ ->
+            jsonResponse(MapSerializer(String.serializer(), Int.serializer()), runs.all())
+        }
+        service("/control/runs/{name}") { ctx, _ ->
+            jsonResponse(Int.serializer(), runs.of(ctx.pathParam("name").orEmpty()))
+        }
+    }
+
+    private companion object {
+        const val ANNOUNCE_EVERY_MILLIS = 1_000L
+        const val TIMEOUT_MILLIS = 800L
+        const val DRAIN_LIMIT_MILLIS = 30_000L
+        const val POLL_MILLIS = 20L
+    }
+}
--- /dev/null
+++ b/standin/src/main/kotlin/org/auburnlever/standin/HeartbeatSchedule.kt
@@ -0,0 +1,46 @@
+package org.auburnlever.standin
+
+/**
+ * Decides when a worker sends its next heartbeat.
+ *
+ * One is due each second, even while earlier ones are unanswered, because their connection may have gone silent. A
+ * changed task makes one due immediately, without waiting for an answer that is still held. After a failure the next
+ * one is due soon, at another entry host.
+ */
+internal data class HeartbeatSchedule(
+    val lastSentMillis: Long? = null,
+    val openCount: Int = 0,
+    val wanted: Boolean = true,
+    val notBeforeMillis: Long = Long.MIN_VALUE,
+) {
+    /** Says whether a heartbeat is due at [nowMillis]. */
+    fun isDue(nowMillis: Long): Boolean {
+        val periodic = lastSentMillis == null || nowMillis - lastSentMillis >= PERIOD_MILLIS
+        return openCount < MAX_OPEN && nowMillis >= notBeforeMillis && (wanted || periodic)
+    }
+
+    /** A heartbeat was sent at [nowMillis]. */
+    fun sent(nowMillis: Long) = copy(lastSentMillis = nowMillis, openCount = openCount + 1, wanted = false)
+
+    /** A heartbeat was answered or failed at [nowMillis]. */
+    fun answered(nowMillis: Long, succeeded: Boolean) =
+        if (succeeded) {
+            copy(openCount = openCount - 1)
+        } else {
+            copy(openCount = openCount - 1, wanted = true, notBeforeMillis = nowMillis + RETRY_MILLIS)
+        }
+
+    /** The worker has news. */
+    fun wanted() = copy(wanted = true)
+
+    companion object {
+        /** Time between two heartbeats without news. */
+        const val PERIOD_MILLIS = 1_000L
+
+        /** Pause after a failed heartbeat. */
+        const val RETRY_MILLIS = 100L
+
+        /** Unanswered heartbeats at the same time; more would pile up on a connection that went silent. */
+        const val MAX_OPEN = 3
+    }
+}
--- /dev/null
+++ b/standin/src/main/kotlin/org/auburnlever/standin/LoadRun.kt
@@ -0,0 +1,128 @@
+package org.auburnlever.standin
+
+import com.linecorp.armeria.client.ClientFactory
+import com.linecorp.armeria.client.WebClient
+import com.linecorp.armeria.common.AggregatedHttpResponse
+import com.linecorp.armeria.common.HttpData
+import com.linecorp.armeria.common.HttpHeaderNames
+import com.linecorp.armeria.common.HttpMethod
+import com.linecorp.armeria.common.HttpRequest
+import com.linecorp.armeria.common.HttpStatus
+import com.linecorp.armeria.common.MediaType
+import com.linecorp.armeria.common.RequestHeaders
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.future.await
+import kotlinx.coroutines.launch
+import kotlinx.serialization.SerializationException
+import org.auburnlever.codec.Codec
+import org.auburnlever.wire.Headers
+import org.auburnlever.wire.Paths
+import java.util.concurrent.TimeUnit
+
+/**
+ * Sends requests at a fixed rate, whether or not earlier ones were answered, and measures each from its planned time.
+ *
+ * Must run on one thread. A request that would exceed the limit of open requests is counted as `not sent`.
+ */
+internal class LoadRun(private val settings: LoadSettings, factory: ClientFactory) {
+    private val recorder = LoadRecorder()
+    private val clients = settings.targets.associateWith { target ->
+        WebClient.builder("h1c://$target")
+            .factory(factory)
+            .responseTimeoutMillis(settings.timeoutMillis + ANSWER_SLACK_MILLIS)
+            .maxResponseLength(MAX_ANSWER_BYTES)
+            .build()
+    }
+    private var open = 0
+
+    /** Runs until all requests are answered, or the time is over and no more are sent. */
+    suspend fun run(): LoadReport {
+        val start = System.nanoTime()
+        val limit = start + TimeUnit.MILLISECONDS.toNanos(settings.maxMillis)
+        coroutineScope {
+            for (index in 0 until settings.requests) {
+                val planned = start + settings.sendAtNanos(index)
+                if (planned > limit) break
+                awaitNanos(planned)
+                sendOrSkip(index, planned)
+            }
+        }
+        return recorder.report((System.nanoTime() - start) / NANOS_PER_SECOND)
+    }
+
+    private fun CoroutineScope.sendOrSkip(index: Int, plannedNanos: Long) {
+        val request = settings.request(index, System.currentTimeMillis() / MILLIS_PER_SECOND)
+        if (open >= settings.maxOpen) {
+            recorder.add("not sent", request.urgent, 0)
+        } else {
+            open++
+            launch {
+                val kind = kindOf(send(request, index), request)
+                recorder.add(kind, request.urgent, System.nanoTime() - plannedNanos)
+                open--
+            }
+        }
+    }
+
+    private suspend fun awaitNanos(atNanos: Long) {
+        val millis = TimeUnit.NANOSECONDS.toMillis(atNanos - System.nanoTime())
+        if (millis > 0) delay(millis)
+    }
+
+    private suspend fun send(request: LoadRequest, index: Int): AggregatedHttpResponse? =
+        clients.getValue(request.target)
+            .execute(HttpRequest.of(headers(request, index), HttpData.wrap(request.body)))
+            .aggregate()
+            .handle { response, _ -> response }
+            .await()
+
+    private fun headers(request: LoadRequest, index: Int): RequestHeaders {
+        val path = if (settings.direct) Paths.ENDPOINT_REQUESTS else "${Paths.SERVICES}/${settings.service}/requests"
+        val headers = RequestHeaders.builder(HttpMethod.POST, path)
+            .contentType(MediaType.OCTET_STREAM)
+            .add(HttpHeaderNames.AUTHORIZATION, "Bearer ${request.token}")
+            .add(Headers.TIMEOUT_MILLIS, settings.timeoutMillis.toString())
+            .add(Headers.URGENT, request.urgent.toString())
+            .add(Headers.REPEATABLE, (request.key == null).toString())
+        request.key?.let { headers.add(Headers.IDEMPOTENCY_KEY, it) }
+        if (settings.direct) headers.add(Headers.REQUEST_ID, "load-${settings.seed}-$index")
+        return headers.build()
+    }
+
+    private companion object {
+        const val ANSWER_SLACK_MILLIS = 2_000L
+        const val MAX_ANSWER_BYTES = 16L * 1024 * 1024
+        const val MILLIS_PER_SECOND = 1_000L
+        const val NANOS_PER_SECOND = 1e9
+    }
+}
+
+/** Names the end of a request: its outcome, followed by the error code if there is one. */
+internal fun kindOf(response: AggregatedHttpResponse?, request: LoadRequest): String {
+    val outcome = response?.headers()?.get(Headers.OUTCOME)
+    val code = response?.headers()?.get(Headers.ERROR_CODE)
+    return when {
+        response == null -> "no answer"
+        response.status() == HttpStatus.OK -> if (isOwnAnswer(
+                response,
+                request
+            )
+        ) {
+            LoadRecorder.COMPLETED
+        } else {
+            "wrong answer"
+        }
+        outcome == null -> "status ${response.status().code()}"
+        else -> listOfNotNull(outcome, code).joinToString(" ")
+    }
+}
+
+private fun isOwnAnswer(response: AggregatedHttpResponse, request: LoadRequest): Boolean =
+    try {
+        val answer = Codec.json.decodeFromString(EndpointAnswer.serializer(), response.contentUtf8())
+        answer.bodySha256Hex == sha256Hex(request.body)
+    } catch (_: SerializationException) {
+        false
+    }
--- /dev/null
+++ b/standin/src/main/kotlin/org/auburnlever/standin/Main.kt
@@ -0,0 +1,32 @@
+package org.auburnlever.standin
+
+import kotlinx.cli.ArgParser
+import kotlinx.cli.ExperimentalCli
+import java.nio.file.Files
+import java.nio.file.Path
+import java.nio.file.StandardCopyOption
+
+/** Runs stand-in endpoints, stand-in workers or the load tool: `standin endpoints|workers|load ...`. */
+@OptIn(ExperimentalCli::class)
+fun main(args: Array<String>) {
+    val parser = ArgParser("standin", strictSubcommandOptionsOrder = true)
+    parser.subcommands(EndpointsCommand(), WorkersCommand(), LoadCommand())
+    parser.parse(if (args.isEmpty()) arrayOf("--help") else args)
+}
+
+/** Splits a list of addresses separated by commas. */
+internal fun addresses(text: String): List<String> = text.split(',').map { it.trim() }.filter { it.isNotEmpty() }
+
+/** Writes the control port to [file] in one step, so that a reader never sees half a number. */
+internal fun writePort(file: String, port: Int) {
+    val target = Path.of(file)
+    val partial = target.resolveSibling("${target.fileName}.partial")
+    Files.writeString(partial, port.toString())
+    Files.move(partial, target, StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING)
+}
+
+/** Calls [shutDown] on SIGTERM and SIGINT, and waits for it. */
+internal fun awaitSignal(shutDown: () -> Unit) {
+    Runtime.getRuntime().addShutdownHook(Thread(shutDown, "shutdown"))
+    Thread.currentThread().join()
+}
--- /dev/null
+++ b/standin/src/main/kotlin/org/auburnlever/standin/RunCounts.kt
@@ -0,0 +1,35 @@
+package org.auburnlever.standin
+
+import java.security.MessageDigest
+import java.util.HexFormat
+
+/**
+ * Counts how often each request ran in this process, by idempotency key, request id and body digest.
+ *
+ * At most [capacity] names are kept, the oldest are dropped first, so that a load test can't exhaust the memory.
+ */
+internal class RunCounts(private val capacity: Int = DEFAULT_CAPACITY) {
+    private val counts = object : LinkedHashMap<String, Int>() {
+        override fun removeEldestEntry(eldest: Map.Entry<String, Int>): Boolean = size > capacity
+    }
+
+    /** Counts one more run under each of [names] and returns the highest count among them. */
+    @Synchronized
+    fun add(names: List<String>): Int = names.maxOf { counts.merge(it, 1, Int::plus) ?: 1 }
+
+    /** Returns how often [name] ran. */
+    @Synchronized
+    fun of(name: String): Int = counts[name] ?: 0
+
+    /** Returns all counts. */
+    @Synchronized
+    fun all(): Map<String, Int> = counts.toMap()
+
+    private companion object {
+        const val DEFAULT_CAPACITY = 100_000
+    }
+}
+
+/** SHA-256 of [bytes] as lower-case hex. */
+internal fun sha256Hex(bytes: ByteArray): String =
+    HexFormat.of().formatHex(MessageDigest.getInstance("SHA-256").digest(bytes))
--- /dev/null
+++ b/standin/src/main/kotlin/org/auburnlever/standin/StandInWorker.kt
@@ -0,0 +1,121 @@
+package org.auburnlever.standin
+
+import com.linecorp.armeria.common.AggregatedHttpResponse
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.isActive
+import kotlinx.coroutines.launch
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.SerializationException
+import org.auburnlever.codec.Codec
+import org.auburnlever.wire.HeartbeatReply
+import org.auburnlever.wire.Paths
+import org.auburnlever.wire.TaskReport
+import org.auburnlever.wire.WorkerHeartbeat
+import java.util.concurrent.TimeUnit
+
+/** State of a stand-in worker, as the control path shows it. */
+@Serializable
+data class WorkerView(
+    val worker: String,
+    val rack: String,
+    val behaviour: WorkerBehaviour,
+    val leaseLeftMillis: Long?,
+    val heartbeatsAnswered: Long,
+    val tasks: List<TaskReport>,
+)
+
+/**
+ * Drives the state of one worker: ticks, heartbeats and their answers.
+ *
+ * All functions run on the process's single worker thread, so that the state needs no lock. [record] receives every
+ * change of a task.
+ */
+internal class StandInWorker(
+    settings: WorkerSettings,
+    private val client: EntryClient,
+    private val record: (TaskEvent) -> Unit,
+) {
+    private var state = WorkerState(settings, epochMillis = System.currentTimeMillis())
+    private var schedule = HeartbeatSchedule()
+    private var answered = 0L
+
+    /** Runs until the scope ends. */
+    suspend fun run(scope: CoroutineScope) {
+        while (scope.isActive) {
+            take(WorkerTime.tick(state, monotonicMillis()))
+            if (!state.behaviour.silent && schedule.isDue(monotonicMillis())) scope.launch { beat() }
+            delay(TICK_MILLIS)
+        }
+    }
+
+    /** Sends one heartbeat and applies its answer. */
+    suspend fun beat() {
+        val sentAt = monotonicMillis()
+        val (next, heartbeat) = state.nextHeartbeat(sentAt)
+        state = next
+        schedule = schedule.sent(sentAt)
+        val json = Codec.json.encodeToString(WorkerHeartbeat.serializer(), heartbeat)
+        val reply = client.post(Paths.WORKER_HEARTBEAT, json)?.heartbeatReply()
+        schedule = schedule.answered(monotonicMillis(), succeeded = reply != null)
+        if (reply != null) {
+            answered++
+            take(WorkerTime.answered(state, HeartbeatAnswer(reply, heartbeat.sequence, sentAt), monotonicMillis()))
+        }
+    }
+
+    /** Changes the behaviour. */
+    fun behave(behaviour: WorkerBehaviour) {
+        if (behaviour.draining != state.behaviour.draining) schedule = schedule.wanted()
+        state = state.copy(behaviour = behaviour)
+    }
+
+    /** Announces draining and stops all tasks, as a worker does that shuts down. */
+    fun shutDown() {
+        behave(state.behaviour.copy(draining = true))
+        take(WorkerTime.stopAll(state, "worker shuts down"))
+    }
+
+    /** Returns the state now. */
+    fun view(): WorkerView {
+        val now = monotonicMillis()
+        return WorkerView(
+            worker = state.settings.name,
+            rack = state.settings.rack,
+            behaviour = state.behaviour,
+            leaseLeftMillis = state.leaseEndsMillis?.minus(now)?.takeIf { it > 0 },
+            heartbeatsAnswered = answered,
+            tasks = state.reports(now),
+        )
+    }
+
+    private fun take(step: WorkerStep) {
+        if (step.state.statuses() != state.statuses()) schedule = schedule.wanted()
+        state = step.state
+        step.changes.forEach { record(it.toEvent()) }
+    }
+
+    private fun TaskChange.toEvent() = TaskEvent(
+        atMillis = System.currentTimeMillis(),
+        worker = state.settings.name,
+        jobId = task.order.jobId,
+        taskIndex = task.order.taskIndex,
+        token = task.order.token,
+        status = task.status,
+        accelerators = task.order.accelerators,
+        reason = reason,
+    )
+
+    private companion object {
+        const val TICK_MILLIS = 10L
+    }
+}
+
+private fun AggregatedHttpResponse.heartbeatReply(): HeartbeatReply? =
+    try {
+        Codec.json.decodeFromString(HeartbeatReply.serializer(), contentUtf8())
+    } catch (_: SerializationException) {
+        null
+    }
+
+private fun monotonicMillis(): Long = TimeUnit.NANOSECONDS.toMillis(System.nanoTime())
--- /dev/null
+++ b/standin/src/main/kotlin/org/auburnlever/standin/WorkerState.kt
@@ -0,0 +1,105 @@
+package org.auburnlever.standin
+
+import kotlinx.serialization.Serializable
+import org.auburnlever.wire.TaskReport
+import org.auburnlever.wire.TaskStatus
+import org.auburnlever.wire.WorkerHeartbeat
+import org.auburnlever.world.DomainName
+import org.auburnlever.world.RackName
+import org.auburnlever.world.WorkerName
+
+/** What a stand-in worker is and where it stands. */
+internal data class WorkerSettings(
+    val name: String,
+    val failureDomain: String,
+    val rack: String,
+    val positionInRack: Int,
+    val accelerators: Int,
+    val cores: Int,
+    val memoryMiB: Long,
+    val usageLagMillis: Long,
+    val checkpointMillis: Long,
+)
+
+/**
+ * How a stand-in worker departs from its normal behaviour; changed through the control path.
+ *
+ * [failAll] fails every task at its start, [silent] sends no heartbeats, [ignoreOrders] drops every order.
+ */
+@Serializable
+data class WorkerBehaviour(
+    val failAll: Boolean = false,
+    val silent: Boolean = false,
+    val ignoreOrders: Boolean = false,
+    val draining: Boolean = false,
+)
+
+/**
+ * State of a stand-in worker. The functions of [WorkerOrders] and [WorkerTime] advance it.
+ *
+ * [leaseEndsMillis] is null before the first lease and after a lease ended. [newestTokens] holds the newest fencing
+ * token seen for each job, and [answeredSequence] is the newest heartbeat that was answered.
+ */
+internal data class WorkerState(
+    val settings: WorkerSettings,
+    val epochMillis: Long,
+    val behaviour: WorkerBehaviour = WorkerBehaviour(),
+    val sequence: Long = 0,
+    val leaseEndsMillis: Long? = null,
+    val answeredSequence: Long = 0,
+    val tasks: Map<TaskId, WorkerTask> = emptyMap(),
+    val newestTokens: Map<String, Long> = emptyMap(),
+) {
+    /** Says whether the worker may run tasks at [nowMillis]. */
+    fun holdsLease(nowMillis: Long): Boolean = leaseEndsMillis != null && nowMillis < leaseEndsMillis
+
+    /** Extends the lease to [leaseEnds], unless it is longer already, and records which heartbeat was answered. */
+    fun renewed(leaseEnds: Long, sequence: Long): WorkerState = copy(
+        leaseEndsMillis = maxOf(leaseEnds, leaseEndsMillis ?: leaseEnds),
+        answeredSequence = maxOf(answeredSequence, sequence),
+    )
+
+    /** Replaces or adds [task]. */
+    fun with(task: WorkerTask): WorkerState = copy(tasks = tasks + (task.id to task))
+
+    /** Returns the reports of all tasks, finished ones included until they are forgotten. */
+    fun reports(nowMillis: Long): List<TaskReport> =
+        tasks.values.map { it.report(nowMillis, settings.usageLagMillis) }
+
+    /** Returns the status of each task; a change calls for an early heartbeat. */
+    fun statuses(): Map<TaskId, TaskStatus> = tasks.mapValues { it.value.status }
+
+    /** Returns the state with the next sequence number and the heartbeat that carries it. */
+    fun nextHeartbeat(nowMillis: Long): Pair<WorkerState, WorkerHeartbeat> {
+        val next = copy(sequence = sequence + 1)
+        return next to WorkerHeartbeat(
+            worker = WorkerName(settings.name),
+            failureDomain = DomainName(settings.failureDomain),
+            rack = RackName(settings.rack),
+            positionInRack = settings.positionInRack,
+            epochMillis = epochMillis,
+            sequence = next.sequence,
+            acceleratorCount = settings.accelerators,
+            cores = settings.cores,
+            memoryMiB = settings.memoryMiB,
+            tasks = reports(nowMillis),
+            draining = behaviour.draining,
+        )
+    }
+}
+
+/** The state after an input, and the changes of tasks that the input caused, with a reason each. */
+internal data class WorkerStep(val state: WorkerState, val changes: List<TaskChange> = emptyList()) {
+    /** Applies [input] to the state and appends its changes. */
+    fun then(input: (WorkerState) -> WorkerStep): WorkerStep {
+        val next = input(state)
+        return WorkerStep(next.state, changes + next.changes)
+    }
+}
+
+/** A task after a change of its status. */
+internal data class TaskChange(val task: WorkerTask, val reason: String)
+
+/** Stores [task] and records the change. */
+internal fun WorkerState.changed(task: WorkerTask, reason: String): WorkerStep =
+    WorkerStep(with(task), listOf(TaskChange(task, reason)))
--- /dev/null
+++ b/standin/src/main/kotlin/org/auburnlever/standin/WorkerTask.kt
@@ -0,0 +1,74 @@
+package org.auburnlever.standin
+
+import kotlinx.serialization.Serializable
+import org.auburnlever.wire.TaskOrder
+import org.auburnlever.wire.TaskReport
+import org.auburnlever.wire.TaskStatus
+
+/** Identity of a task on a worker. */
+internal data class TaskId(val jobId: String, val taskIndex: Int)
+
+/** A task that a worker holds or held; all times are on the worker's monotonic clock. */
+internal data class WorkerTask(
+    val order: TaskOrder.Reserve,
+    val payload: TaskPayload?,
+    val status: TaskStatus,
+    val startedAtMillis: Long = 0,
+    val endsAtMillis: Long = 0,
+    val stopsAtMillis: Long? = null,
+    val milliCores: Long = order.cores * MILLI_CORES_PER_CORE,
+    val error: String? = null,
+) {
+    val id: TaskId get() = TaskId(order.jobId, order.taskIndex)
+
+    /** True while the task holds its accelerators. */
+    val active: Boolean get() = status == TaskStatus.RESERVED || status == TaskStatus.RUNNING
+
+    /** Begins to run. */
+    fun started(nowMillis: Long): WorkerTask {
+        val run = payload?.let { if (order.fromCheckpoint) it.resumedRunMillis ?: it.runMillis else it.runMillis } ?: 0
+        return copy(status = TaskStatus.RUNNING, startedAtMillis = nowMillis, endsAtMillis = nowMillis + run)
+    }
+
+    /** Runs on with [limit] milli-cores; the rest of the run takes longer in proportion. */
+    fun throttled(limit: Long, nowMillis: Long): WorkerTask {
+        if (limit <= 0 || status != TaskStatus.RUNNING) return copy(milliCores = maxOf(limit, 1))
+        val rest = (endsAtMillis - nowMillis).coerceAtLeast(0) * milliCores / limit
+        return copy(milliCores = limit, endsAtMillis = nowMillis + rest)
+    }
+
+    /** Returns the report; usage appears [usageLagMillis] after the start. */
+    fun report(nowMillis: Long, usageLagMillis: Long): TaskReport {
+        val age = nowMillis - startedAtMillis
+        val running = status == TaskStatus.RUNNING
+        val used = running && age >= usageLagMillis
+        return TaskReport(
+            jobId = order.jobId,
+            taskIndex = order.taskIndex,
+            token = order.token,
+            status = status,
+            usedMemoryMiB = if (used) payload?.usedMemoryMiB ?: order.memoryMiB else 0,
+            usedMilliCores = if (used) payload?.usedMilliCores ?: milliCores else 0,
+            checkpointAgeMillis = payload?.checkpointEveryMillis
+                ?.takeIf { running && it > 0 && age >= it }
+                ?.let { age % it },
+            result = payload?.result?.takeIf { status == TaskStatus.COMPLETED },
+            error = error,
+        )
+    }
+}
+
+/** What happened to a task on a stand-in worker, by the wall clock, so that tests can compare several processes. */
+@Serializable
+data class TaskEvent(
+    val atMillis: Long,
+    val worker: String,
+    val jobId: String,
+    val taskIndex: Int,
+    val token: Long,
+    val status: TaskStatus,
+    val accelerators: List<Int>,
+    val reason: String,
+)
+
+internal const val MILLI_CORES_PER_CORE = 1_000L
--- /dev/null
+++ b/standin/src/main/kotlin/org/auburnlever/standin/WorkerTime.kt
@@ -0,0 +1,67 @@
+package org.auburnlever.standin
+
+import org.auburnlever.wire.HeartbeatReply
+import org.auburnlever.wire.TaskStatus
+
+/** The answer to the heartbeat with [sequence], sent at [sentAtMillis] by the worker's monotonic clock. */
+internal data class HeartbeatAnswer(val reply: HeartbeatReply, val sequence: Long, val sentAtMillis: Long)
+
+/** What the passing of time does to a worker: leases end, tasks complete, stops take effect. */
+internal object WorkerTime {
+    /**
+     * Lets everything happen that is due at [nowMillis].
+     *
+     * The lease is looked at first: a process that was suspended past the end of its lease must not report that a
+     * task completed, because the ledger may already have counted the worker as lost.
+     */
+    fun tick(state: WorkerState, nowMillis: Long): WorkerStep =
+        if (state.holdsLease(nowMillis)) {
+            state.tasks.values.fold(WorkerStep(state)) { step, task ->
+                step.then { advance(it, task, nowMillis) }
+            }
+        } else {
+            endLease(state)
+        }
+
+    /**
+     * Applies the answer to a heartbeat.
+     *
+     * The lease counts from the sending. An answer whose lease has already ended renews nothing, and its orders are
+     * dropped. An answer that was overtaken by the answer to a later heartbeat doesn't shorten the lease, and its
+     * orders are dropped too: a reserve order must not take effect after the forget order for the same task.
+     */
+    fun answered(state: WorkerState, answer: HeartbeatAnswer, nowMillis: Long): WorkerStep {
+        val leaseEnds = answer.sentAtMillis + answer.reply.leaseMillis
+        val current = tick(state, nowMillis)
+        if (leaseEnds <= nowMillis) return current
+        val renewed = current.then { WorkerStep(it.renewed(leaseEnds, answer.sequence)) }
+        val dropped = state.behaviour.ignoreOrders || answer.sequence < state.answeredSequence
+        val orders = if (dropped) emptyList() else answer.reply.orders
+        return orders.fold(renewed) { step, order -> step.then { WorkerOrders.apply(it, order, nowMillis) } }
+    }
+
+    /** Stops every task, as at the end of the lease. */
+    fun stopAll(state: WorkerState, reason: String): WorkerStep =
+        state.tasks.values.filter { it.active }.fold(WorkerStep(state)) { step, task ->
+            step.then { it.changed(task.copy(status = TaskStatus.STOPPED), reason) }
+        }
+
+    private fun endLease(state: WorkerState): WorkerStep =
+        stopAll(state, "lease ended").then { WorkerStep(it.copy(leaseEndsMillis = null)) }
+
+    private fun advance(state: WorkerState, task: WorkerTask, nowMillis: Long): WorkerStep =
+        when {
+            task.status != TaskStatus.RUNNING -> WorkerStep(state)
+            task.stopsAtMillis != null && nowMillis >= task.stopsAtMillis ->
+                state.changed(task.copy(status = TaskStatus.STOPPED), "stopped by order")
+            nowMillis >= task.endsAtMillis -> finish(state, task)
+            else -> WorkerStep(state)
+        }
+
+    private fun finish(state: WorkerState, task: WorkerTask): WorkerStep =
+        if (task.payload?.fail == true) {
+            state.changed(task.copy(status = TaskStatus.FAILED, error = "failed as the payload asks"), "failed")
+        } else {
+            state.changed(task.copy(status = TaskStatus.COMPLETED), "completed")
+        }
+}
