Test the stand-ins' protocol logic and processes

Cause: later failure tests judge the scheduler by what the stand-ins count, so the stand-ins' own protocol handling needs tests.

--- /dev/null
+++ b/standin/src/test/kotlin/org/auburnlever/standin/WorkersProcessTest.kt
@@ -0,0 +1,65 @@
+package org.auburnlever.standin
+
+import com.linecorp.armeria.client.WebClient
+import kotlinx.serialization.builtins.ListSerializer
+import org.auburnlever.codec.Codec
+import org.auburnlever.wire.TaskOrder
+import org.auburnlever.wire.TaskStatus
+import org.auburnlever.wire.WorkerHeartbeat
+import kotlin.test.AfterTest
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+
+class WorkersProcessTest {
+    private val entry = FakeEntryHost()
+    private val process = WorkersProcess(
+        settings = listOf(worker().settings, worker().settings.copy(name = "worker-1")),
+        entryAddresses = listOf("127.0.0.1:1", entry.address),
+        token = "token",
+        controlPort = 0,
+        behaviour = WorkerBehaviour(),
+    )
+
+    @AfterTest
+    fun close() {
+        process.close()
+        entry.close()
+    }
+
+    @Test
+    fun `a worker follows orders from reservation to forgetting and its log shows each step`() {
+        entry.orders.set(::nextOrder)
+        process.start()
+        entry.await(entry.heartbeats) { it.isFirstWorker() && it.has(TaskStatus.COMPLETED) }
+        entry.await(entry.heartbeats) { it.isFirstWorker() && it.tasks.isEmpty() }
+        val json = WebClient.of("http://$LOOPBACK:${process.controlPort}").get("/control/events").aggregate().join()
+        val events = Codec.json.decodeFromString(ListSerializer(TaskEvent.serializer()), json.contentUtf8())
+        assertEquals(listOf(TaskStatus.RESERVED, TaskStatus.RUNNING, TaskStatus.COMPLETED), events.map { it.status })
+        assertTrue(events.zipWithNext().all { (a, b) -> a.atMillis <= b.atMillis })
+    }
+
+    @Test
+    fun `all workers of a process announce themselves, each with its own sequence`() {
+        process.start()
+        val seen = (0..1).map { index -> entry.await(entry.heartbeats) { it.worker.value == "worker-$index" } }
+        assertEquals(setOf("worker-0", "worker-1"), seen.map { it.worker.value }.toSet())
+    }
+
+    private fun nextOrder(heartbeat: WorkerHeartbeat): List<TaskOrder> = when {
+        !heartbeat.isFirstWorker() -> emptyList()
+        heartbeat.has(TaskStatus.RESERVED) -> listOf(start(1))
+        heartbeat.has(TaskStatus.COMPLETED) -> listOf(forget(1))
+        heartbeat.tasks.isEmpty() && heartbeat.sequence < LAST_RESERVE -> listOf(reserve(1))
+        else -> emptyList()
+    }
+
+    private fun WorkerHeartbeat.isFirstWorker(): Boolean = worker.value == "worker-0"
+
+    private fun WorkerHeartbeat.has(status: TaskStatus): Boolean = tasks.any { it.status == status }
+
+    private companion object {
+        /** The first heartbeats are answered with a reserve order; the first one fails at the dead address. */
+        const val LAST_RESERVE = 3
+    }
+}
