--- a/standin/src/test/kotlin/org/auburnlever/standin/EndpointsProcessTest.kt
+++ b/standin/src/test/kotlin/org/auburnlever/standin/EndpointsProcessTest.kt
@@ -25,7 +25,6 @@
     private val entry = FakeEntryHost()
     private val settings = EndpointSettings("endpoint-0", "tag", "thies-a", 2, 64, EndpointBehaviour())
 
-
     // The first address answers nobody: announcements must go on to the second one.
     private val process = EndpointsProcess(listOf(settings), listOf("127.0.0.1:1", entry.address), "token", 0, 0)
         .also { it.start() }
