Add a deployment of real processes, the demo and the readme

Cause: acceptance and failure tests need daemons, endpoints and workers as real processes that can be stopped, killed and suspended one by one.

Ruled out: one process for everything; a demo in bash alone, since a golden test is to run the same session.

--- /dev/null
+++ b/acceptance/src/main/kotlin/org/auburnlever/acceptance/JobSteps.kt
@@ -0,0 +1,103 @@
+package org.auburnlever.acceptance
+
+import org.auburnlever.codec.Codec
+import org.auburnlever.standin.TaskEvent
+import org.auburnlever.wire.Headers
+import org.auburnlever.wire.JobPhase
+import org.auburnlever.wire.JobSpec
+import org.auburnlever.wire.JobView
+import org.auburnlever.wire.Paths
+import org.auburnlever.wire.TaskStatus
+import org.auburnlever.world.DomainName
+import org.auburnlever.world.ServiceName
+import org.auburnlever.world.Shape
+
+/** Submits gang jobs and checks that they run as a whole. */
+internal class JobSteps(private val context: SessionContext) {
+    private val hosts = context.deployment.plan.hosts
+
+    /** Submits a gang through one host, resends it through another and reads the results through a third. */
+    fun gang(key: String) {
+        context.title("gang job")
+        val domain = context.deployment.plan.failureDomains.first()
+        val submit = AccountCall("POST", Paths.JOBS, json(gangSpec(domain)), mapOf(Headers.IDEMPOTENCY_KEY to key))
+        val jobId = submit(submit)
+        val done = awaitDone(jobId)
+        context.transcript.add("results ${done.results} after attempt ${done.attempt}")
+        ensure(done.outcome == "completed") { "the job ended as ${done.outcome}: ${done.reason}" }
+        ensure(done.results == listOf(RESULT, RESULT)) { "the results are ${done.results}" }
+        checkWhole(jobId)
+    }
+
+    /** Submits a job that no worker can hold; it must be refused at once. */
+    fun impossible(key: String) {
+        context.title("job that can never run")
+        val spec = gangSpec(context.deployment.plan.failureDomains.first()).copy(shape = Shape(1, LARGER_THAN_WORKER))
+        val call = AccountCall("POST", Paths.JOBS, json(spec), mapOf(Headers.IDEMPOTENCY_KEY to key))
+        val answer = context.call(hosts.first().name, call)
+        ensure(answer.header(Headers.ERROR_CODE) == "impossible_shape") { "it was not refused as impossible" }
+        ensure(answer.header(Headers.OUTCOME) == "refused") { "it was not refused" }
+    }
+
+    private fun submit(call: AccountCall): String {
+        context.transcript.add("> POST ${call.path} through ${hosts[2].name} ${call.body}")
+        val first = view(context.quietCall(hosts[2].name, call))
+        val again = view(context.quietCall(hosts.last().name, call))
+        context.transcript.hide(first.jobId, "job")
+        context.transcript.add("< job ${first.jobId} in ${first.failureDomain}")
+        context.transcript.add("< resend through ${hosts.last().name}: job ${again.jobId}")
+        ensure(first.jobId == again.jobId) { "the resend made another job" }
+        return first.jobId
+    }
+
+    private fun awaitDone(jobId: String): JobView {
+        val read = AccountCall("GET", "${Paths.JOBS}/$jobId")
+        val reader = hosts[1].name
+        val done = await("job $jobId is done", JOB_MILLIS, { context.quietCall(reader, read)?.body.orEmpty() }) {
+            view(context.quietCall(reader, read)).takeIf { it.phase == JobPhase.DONE }
+        }
+        context.transcript.add("read through $reader: ${done.phase.name.lowercase()} ${done.outcome}")
+        return done
+    }
+
+    /** Every task must have run once, and all tasks must have run at the same time. */
+    private fun checkWhole(jobId: String) {
+        val events = context.workers.flatMap { it.events() }.filter { it.jobId == jobId }
+        events.sortedWith(compareBy({ it.status }, { it.taskIndex })).forEach { show(it) }
+        val starts = events.filter { it.status == TaskStatus.RUNNING }
+        val ends = events.filter { it.status == TaskStatus.COMPLETED }
+        ensure(starts.map { it.taskIndex }.sorted() == listOf(0, 1)) { "the tasks did not start once each" }
+        ensure(ends.map { it.taskIndex }.sorted() == listOf(0, 1)) { "the tasks did not complete once each" }
+        val reserved = events.filter { it.status == TaskStatus.RESERVED }.maxOf { it.atMillis }
+        ensure(reserved <= starts.minOf { it.atMillis }) { "a task started before all were reserved" }
+        ensure(starts.maxOf { it.atMillis } < ends.minOf { it.atMillis }) { "the tasks did not run together" }
+    }
+
+    private fun show(event: TaskEvent) {
+        val adjacent = event.accelerators.zipWithNext().all { (a, b) -> b == a + 1 }
+        val count = "${event.accelerators.size} ${if (adjacent) "adjacent" else "scattered"} accelerators"
+        context.transcript.add("task ${event.taskIndex} ${event.status.name.lowercase()} on $count")
+    }
+
+    private fun gangSpec(domain: String) = JobSpec(
+        service = ServiceName("simulate"),
+        shape = Shape(taskCount = 2, acceleratorsPerTask = 4),
+        estimatedSeconds = 2,
+        payload = """{"runMillis":1500,"result":"$RESULT"}""",
+        failureDomain = DomainName(domain),
+    )
+
+    private fun json(spec: JobSpec): String = Codec.json.encodeToString(JobSpec.serializer(), spec)
+
+    private fun view(answer: HttpAnswer?): JobView {
+        ensure(answer != null && answer.status in SUCCESS) { "no job: ${answer?.status} ${answer?.body}" }
+        return Codec.json.decodeFromString(JobView.serializer(), answer?.body.orEmpty())
+    }
+
+    private companion object {
+        const val RESULT = "mould 7"
+        const val JOB_MILLIS = 20_000L
+        const val LARGER_THAN_WORKER = 5
+        val SUCCESS = 200..202
+    }
+}
--- /dev/null
+++ b/acceptance/src/main/kotlin/org/auburnlever/acceptance/OperatorTools.kt
@@ -0,0 +1,43 @@
+package org.auburnlever.acceptance
+
+import java.nio.file.Files
+import java.nio.file.Path
+
+/** An operator's key pair; the private key is in [privateKeyFile]. */
+data class OperatorKey(val name: String, val publicKeyHex: String, val privateKeyFile: Path)
+
+/** A bearer token and its digest, which belongs into the bundle. */
+data class BearerToken(val token: String, val digest: String)
+
+/** What an operator does with `auburnctl`. */
+class OperatorTools(private val programs: Programs, private val folder: Path) {
+    /** Makes a key pair for the operator [name]. */
+    fun makeKey(name: String): OperatorKey {
+        val file = folder.resolve("$name.key")
+        val publicKey = programs.run("auburnctl", listOf("keygen", file.toString())).trim()
+        return OperatorKey(name, publicKey, file)
+    }
+
+    /** Makes a bearer token. */
+    fun makeToken(): BearerToken {
+        val lines = programs.run("auburnctl", listOf("token")).lines().associate {
+            it.substringBefore(": ") to it.substringAfter(": ")
+        }
+        return BearerToken(lines.getValue("token"), lines.getValue("digest"))
+    }
+
+    /** Writes [bundle] to a file; the result is the argument of [propose] and [signOff]. */
+    fun writeBundle(version: Long, bundle: String): Path =
+        folder.resolve("bundle-$version.json").also { Files.writeString(it, bundle) }
+
+    /** Proposes the bundle in [file] through the host at [address] and returns what became of it. */
+    fun propose(address: String, operator: OperatorKey, file: Path): String =
+        programs.run("auburnctl", listOf("propose") + signing(address, operator) + file.toString()).trim()
+
+    /** Signs the bundle in [file] through the host at [address] and returns what became of it. */
+    fun signOff(address: String, operator: OperatorKey, file: Path): String =
+        programs.run("auburnctl", listOf("sign-off") + signing(address, operator) + file.toString()).trim()
+
+    private fun signing(address: String, operator: OperatorKey): List<String> =
+        listOf("--server", address, "--operator", operator.name, "--key", operator.privateKeyFile.toString())
+}
--- /dev/null
+++ b/acceptance/src/main/kotlin/org/auburnlever/acceptance/SessionContext.kt
@@ -0,0 +1,60 @@
+package org.auburnlever.acceptance
+
+import org.auburnlever.wire.Headers
+
+/** What the steps of a session share. */
+class SessionContext(val deployment: Deployment, val transcript: Transcript) {
+    private val tools = deployment.operatorTools
+
+    /** Token of the client account `moulds`. */
+    val accountToken: BearerToken by lazy { tools.makeToken() }
+
+    /** Token of endpoints, workers and reading operators. */
+    val platformToken: BearerToken by lazy { tools.makeToken() }
+
+    /** The stand-in processes that were started. */
+    val endpoints = mutableListOf<StandInControl>()
+    val workers = mutableListOf<StandInControl>()
+
+    /** Begins a part of the session. */
+    fun title(text: String) = transcript.add("== $text")
+
+    /** Sends a request of the client account through [host] and shows the request and its answer. */
+    fun call(host: String, call: AccountCall): HttpAnswer {
+        val marks = call.headers.entries.joinToString("") { " ${it.key}=${it.value}" }
+        transcript.add("> ${call.method} ${call.path} through $host$marks ${call.body}".trimEnd())
+        val answer = HttpCalls.send(httpCall(host, call))
+        val outcome = listOfNotNull(answer.header(Headers.OUTCOME), answer.header(Headers.ERROR_CODE))
+        transcript.add("< ${(listOf(answer.status) + outcome).joinToString(" ")} ${answer.body}")
+        return answer
+    }
+
+    /** Sends a request of the client account without showing it; null when no answer arrives. */
+    fun quietCall(host: String, call: AccountCall): HttpAnswer? = HttpCalls.trySend(httpCall(host, call))
+
+    /** Reads [path] on [host] with the platform token; null unless the answer has status 200. */
+    fun read(host: String, path: String): HttpAnswer? {
+        val headers = mapOf("authorization" to "Bearer ${platformToken.token}")
+        val call = HttpCall("GET", deployment.plan.host(host).address, path, headers = headers, timeoutMillis = 5_000)
+        return HttpCalls.trySend(call)?.takeIf { it.status == STATUS_OK }
+    }
+
+    private fun httpCall(host: String, call: AccountCall): HttpCall {
+        val headers = call.headers + ("authorization" to "Bearer ${accountToken.token}")
+        return HttpCall(call.method, deployment.plan.host(host).address, call.path, call.body, headers)
+    }
+
+    /** Status codes that steps expect. */
+    companion object {
+        /** The answer is whole. */
+        const val STATUS_OK = 200
+    }
+}
+
+/** A request of the client account. */
+data class AccountCall(
+    val method: String,
+    val path: String,
+    val body: String = "",
+    val headers: Map<String, String> = emptyMap(),
+)
--- /dev/null
+++ b/acceptance/src/main/kotlin/org/auburnlever/acceptance/StatusSteps.kt
@@ -0,0 +1,51 @@
+package org.auburnlever.acceptance
+
+import kotlinx.serialization.json.jsonObject
+import kotlinx.serialization.json.jsonPrimitive
+import kotlinx.serialization.json.long
+import org.auburnlever.codec.Codec
+import org.auburnlever.wire.Paths
+
+/** Shows the status and ends the session. */
+internal class StatusSteps(private val context: SessionContext) {
+    private val deployment = context.deployment
+    private val hosts = deployment.plan.hosts
+
+    /** Shows the version in force on each host; all must have [version]. */
+    fun versions(version: Long) {
+        context.title("status")
+        hosts.forEach { host ->
+            val status = context.read(host.name, Paths.STATUS)
+            val inForce = status?.let {
+                Codec.json.parseToJsonElement(it.body).jsonObject["bundleVersion"]?.jsonPrimitive?.long
+            }
+            context.transcript.add("${host.name}: version $inForce in force")
+            ensure(inForce == version) { "${host.name} has version $inForce, not $version" }
+        }
+    }
+
+    /** Stops everything with SIGTERM; each process must end by itself. */
+    fun stopAll() {
+        context.title("shut down")
+        val standIns = (context.endpoints + context.workers).map { it.name }
+        endAll(standIns)
+        endAll(hosts.map { it.name })
+        ensure(deployment.running.isEmpty()) { "still running: ${deployment.running}" }
+        context.transcript.add("all ${standIns.size + hosts.size} processes ended")
+    }
+
+    private fun endAll(names: List<String>) {
+        names.forEach { deployment.process(it).terminate() }
+        names.forEach { name ->
+            val code = deployment.process(name).awaitExit(STOP_MILLIS)
+            // A JVM that ends by its shutdown hooks after SIGTERM has code 143.
+            ensure(code in GRACEFUL) { "$name ended with code $code; its log is ${deployment.process(name).log}" }
+        }
+    }
+
+    private companion object {
+        const val STOP_MILLIS = 40_000L
+        const val SIGTERM_CODE = 143
+        val GRACEFUL = setOf(0, SIGTERM_CODE)
+    }
+}
