Answer outdated terms without a read round

A delayed message of a leader's earlier term was answered with the new term and the old round; the leader, elected again, counted that round as an answer to its current one.

Change: an outdated term is answered by the new message TermOutdated, which has no round. The schedules now isolate and freeze leaders more often, use narrow election timeouts in half of the runs and lose more disks. Tests for the durable vote, incarnations in addresses and segment rotation are added.

Ruled out: checking rounds against roundSent at the leader, which would accept an old round once the new term has reached its number.

--- a/core/src/main/kotlin/org/auburnlever/consensus/Following.kt
+++ b/core/src/main/kotlin/org/auburnlever/consensus/Following.kt
@@ -41,9 +41,12 @@
     }
 }
 
-/** Follows [leader] unless its [term] is outdated; returns whether it does. */
+/** Follows [leader], or tells it that its [term] is outdated; returns whether it follows. */
 internal fun StepScope.acceptLeader(leader: ReplicaId, term: Long): Boolean {
-    if (term < state.term) return false
+    if (term < state.term) {
+        send(leader, ReplicaMessage.TermOutdated(state.term))
+        return false
+    }
     check(term > state.term || leading == null) { "$leader and ${state.id} both lead term $term" }
     follow(term, leader)
     restartElectionTimer()
@@ -52,7 +55,8 @@
 }
 
 internal fun StepScope.onAppend(from: ReplicaId, message: ReplicaMessage.Append) {
-    if (acceptLeader(from, message.term) && state.sharesPrevious(message)) {
+    if (!acceptLeader(from, message.term)) return
+    if (state.sharesPrevious(message)) {
         store(message.entries)
         // Committed entries are in every leader's log, so the match never ends before them.
         val match = maxOf(message.previousIndex + message.entries.size, state.commitIndex)
--- a/core/src/main/kotlin/org/auburnlever/consensus/ReplicaMessage.kt
+++ b/core/src/main/kotlin/org/auburnlever/consensus/ReplicaMessage.kt
@@ -72,6 +72,15 @@
         val round: Long,
     ) : ReplicaMessage
 
+    /**
+     * The receiver's message was of an older term.
+     *
+     * It returns no read round: a leader elected again would take the round of its earlier term for a current one.
+     */
+    @Serializable
+    @SerialName("termOutdated")
+    data class TermOutdated(override val term: Long) : ReplicaMessage
+
     /** A part of the serialized state machine of a [Snapshot], from [offsetBytes] of [totalBytes] on. */
     @Serializable
     @SerialName("snapshotChunk")
--- a/core/src/main/kotlin/org/auburnlever/consensus/SnapshotTransfers.kt
+++ b/core/src/main/kotlin/org/auburnlever/consensus/SnapshotTransfers.kt
@@ -63,9 +63,8 @@
 }
 
 internal fun StepScope.onSnapshotChunk(from: ReplicaId, chunk: ReplicaMessage.SnapshotChunk) {
-    if (!acceptLeader(from, chunk.term)) {
-        send(from, ReplicaMessage.SnapshotProgress(state.term, chunk.lastIndex, receivedBytes = 0, chunk.round))
-    } else if (chunk.lastIndex <= state.commitIndex) {
+    if (!acceptLeader(from, chunk.term)) return
+    if (chunk.lastIndex <= state.commitIndex) {
         state = state.copy(incoming = null)
         send(from, ReplicaMessage.AppendAccepted(state.term, state.commitIndex, chunk.round))
     } else {
--- a/core/src/main/kotlin/org/auburnlever/consensus/Step.kt
+++ b/core/src/main/kotlin/org/auburnlever/consensus/Step.kt
@@ -52,5 +52,6 @@
     is ReplicaMessage.AppendRejected -> onAppendRejected(from, message)
     is ReplicaMessage.SnapshotChunk -> onSnapshotChunk(from, message)
     is ReplicaMessage.SnapshotProgress -> onSnapshotProgress(from, message)
+    is ReplicaMessage.TermOutdated -> observeTerm(message.term)
     is ReplicaMessage.TimeoutNow -> onTimeoutNow(message)
 }
--- a/core/src/test/kotlin/org/auburnlever/consensus/ReplicaTest.kt
+++ b/core/src/test/kotlin/org/auburnlever/consensus/ReplicaTest.kt
@@ -37,6 +37,48 @@
         assertEquals(emptyList(), asked.state.step(ReplicaInput.Tick, nowMillis = 60_000).effects)
     }
 
+    /** Guards against a second vote in the same term after a restart. */
+    @Test
+    fun `a vote is persisted with its answer and kept after a restart`() {
+        val c = ReplicaId(HostName("c"), incarnation = 1)
+        val request = ReplicaMessage.VoteRequest(term = 5, lastIndex = 9, lastTerm = 4, transfer = false)
+        val started = startReplica(a, EMPTY_LOG, voters(a, b, c), ReplicaSettings(seed = 1), nowMillis = 0).state
+        val voted = started.step(ReplicaInput.Received(b, request), nowMillis = 5)
+        val vote = DurableWrite.Vote(term = 5, votedFor = b)
+        assertTrue(ReplicaEffect.Persist(vote) in voted.effects)
+        val recovered = EMPTY_LOG.copy(term = vote.term, votedFor = vote.votedFor)
+        val again = startReplica(a, recovered, voters(a, b, c), ReplicaSettings(seed = 1), nowMillis = 10).state
+        val answer = again.step(ReplicaInput.Received(c, request), nowMillis = 15).effects
+        assertEquals(listOf(ReplicaEffect.Send(c, ReplicaMessage.VoteAnswer(term = 5, granted = false))), answer)
+    }
+
+    /** Guards against messages that reach, or come from, a copy of the log that no longer exists. */
+    @Test
+    fun `messages to or from another incarnation are ignored`() {
+        val fresh = ReplicaId(b.host, incarnation = 2)
+        val members = Membership(listOf(a, fresh).associateWith { ReplicaRole.VOTER })
+        val started = startReplica(a, EMPTY_LOG, members, ReplicaSettings(seed = 1), nowMillis = 0).state
+        val request = ReplicaMessage.VoteRequest(term = 5, lastIndex = 9, lastTerm = 4, transfer = false)
+        val ignored = listOf(
+            ReplicaInput.Received(b, request),
+            ReplicaInput.Received(fresh, request, to = a.copy(incarnation = 2)),
+            ReplicaInput.Received(a.copy(incarnation = 2), request),
+        )
+        ignored.forEach { assertEquals(emptyList(), started.step(it, nowMillis = 5).effects, "$it") }
+        val heard = started.step(ReplicaInput.Received(fresh, request, to = a), nowMillis = 5)
+        assertTrue(ReplicaEffect.Send(fresh, ReplicaMessage.VoteAnswer(term = 5, granted = true)) in heard.effects)
+    }
+
+    /** Guards against a stale read: a re-elected leader would count the round of its earlier term. */
+    @Test
+    fun `the answer to an outdated term returns no read round`() {
+        val recovered = EMPTY_LOG.copy(term = 2)
+        val started = startReplica(a, recovered, voters(a, b), ReplicaSettings(seed = 1), nowMillis = 0).state
+        val delayed = ReplicaMessage.Append(1, 0, 0, emptyList(), commitIndex = 0, round = 24)
+        val answered = started.step(ReplicaInput.Received(b, delayed), nowMillis = 5)
+        assertEquals(listOf(ReplicaEffect.Send(b, ReplicaMessage.TermOutdated(term = 2))), answered.effects)
+    }
+
     /** Guards against a message type that does not survive the peer links. */
     @Test
     fun `messages are the same after CBOR`() {
--- a/core/src/test/kotlin/org/auburnlever/consensus/ScheduleTest.kt
+++ b/core/src/test/kotlin/org/auburnlever/consensus/ScheduleTest.kt
@@ -6,7 +6,7 @@
 import kotlin.test.Test
 import kotlin.test.assertTrue
 
-private const val SCHEDULES = 2_000
+private const val SCHEDULES = 3_000
 private const val STEPS = 400
 private const val THREADS = 3
 
@@ -45,6 +45,8 @@
         seed = random.nextLong(),
         members = mapOf("a" to ReplicaRole.VOTER, "b" to ReplicaRole.VOTER, "c" to third),
         spares = listOf("d"),
+        // A narrow range makes replicas campaign at the same time.
+        settings = SMALL_LIMITS.copy(electionTimeoutMaxMillis = if (random.nextBoolean()) 1_000 else 540),
     )
     private var lostDisks = 0
 
@@ -53,7 +55,7 @@
         cluster.slowDisks = true
         repeat(STEPS) {
             clientAction()
-            if (random.nextInt(100) < 15) fault()
+            if (random.nextInt(100) < 18) fault()
             restartStopped()
             cluster.advance(random.nextLong(5, 40))
         }
@@ -68,20 +70,22 @@
         "lost disks" to lostDisks,
     )
 
+    // Clients also ask hosts that lost leadership without noticing, where a stale read would come from.
     private fun clientAction() {
-        val target = if (random.nextInt(4) > 0) cluster.leader() ?: cluster.hosts.random(random) else anyHost()
+        val leaders = cluster.hosts.filter { it.state?.isLeader == true }
+        val target = if (random.nextInt(5) > 0 && leaders.isNotEmpty()) leaders.random(random) else anyHost()
         when (random.nextInt(10)) {
             in 0..3 -> cluster.propose(target)
-            in 4..6 -> cluster.read(target)
+            in 4..7 -> cluster.read(target)
             else -> Unit
         }
     }
 
-    private fun fault() = when (random.nextInt(16)) {
+    private fun fault() = when (random.nextInt(20)) {
         0, 1 -> anyHost().crash()
-        2, 3 -> anyHost().resumeMillis = cluster.nowMillis + random.nextLong(2_500)
+        2, 3 -> likelyLeader().resumeMillis = cluster.nowMillis + random.nextLong(2_500)
         4, 5 -> cluster.network.cuts += anyHost().name to anyHost().name
-        6 -> cluster.isolate(anyHost())
+        6 -> cluster.isolate(likelyLeader())
         in 7..10 -> cluster.network.cuts.clear()
         11 -> anyHost().submit(ReplicaInput.TransferLeadership(anyHost().id))
         12, 13 -> changeMembership()
@@ -138,5 +142,7 @@
         host.state?.run { "$id $activity term $term commit $commitIndex last $lastIndex $peers" } ?: "${host.id} down"
     }
 
+    private fun likelyLeader(): SimulatedHost = cluster.leader().takeIf { random.nextBoolean() } ?: anyHost()
+
     private fun anyHost(): SimulatedHost = cluster.hosts.random(random)
 }
--- a/core/src/test/kotlin/org/auburnlever/consensus/SimulatedHost.kt
+++ b/core/src/test/kotlin/org/auburnlever/consensus/SimulatedHost.kt
@@ -60,7 +60,7 @@
 
     /** Whether no other membership is on its way: neither in the log nor asked for. */
     fun settledOn(membership: Membership): Boolean =
-        inputs.isEmpty() && state.let { it != null && (it.membership == membership || it.role == null) }
+        inputs.isEmpty() && state.let { it != null && (it.membership == membership || id !in membership.roles) }
 
     /** Handles all inputs as a batch, unless the last one is still being written. */
     fun process(arrived: List<ReplicaInput>, nowMillis: Long) {
--- a/node/src/test/kotlin/org/auburnlever/storage/LogStoreTest.kt
+++ b/node/src/test/kotlin/org/auburnlever/storage/LogStoreTest.kt
@@ -111,6 +111,22 @@
         }
     }
 
+    /** Guards against a torn record that is accepted although later segments show that it was complete once. */
+    @Test
+    fun `a long log continues in a second segment, and the first must be whole`() {
+        format()
+        val large = EntryPayload.Command(Bytes(ByteArray(1_024 * 1_024)))
+        val writes = (1L..9).map { DurableWrite.Append(listOf(LogEntry(it, 1, large))) }
+        opened { opened -> writes.forEach { opened.store.write(listOf(it)) } }
+        val (first, second) = files("log-").sorted()
+        assertEquals((1L..9).toList(), recovered().entries.map { it.index })
+        Files.write(first, Files.readAllBytes(first).let { it.copyOf(it.size - 1) })
+        assertEquals(first, assertIs<StorageError.Corrupt>(open().getError()).file)
+        Files.delete(first)
+        assertEquals(first, assertIs<StorageError.Corrupt>(open().getError()).file)
+        assertTrue(Files.exists(second))
+    }
+
     /** Guards against a removed file that looks like an empty log, which would return a vote already given. */
     @Test
     fun `missing files stop the start`() {
