Refuse to replace an incarnation that still answers

Cause: a second process started with an empty folder under the name of a working host could take the vote of the working copy.

Change: AddLearner is rejected with OLD_INCARNATION_ACTIVE while the older incarnation is the leader or answered it within one election timeout.

--- a/core/src/main/kotlin/org/auburnlever/consensus/MembershipChanges.kt
+++ b/core/src/main/kotlin/org/auburnlever/consensus/MembershipChanges.kt
@@ -20,6 +20,7 @@
         leader.transfer != null -> RejectionReason.LEADERSHIP_LOST
         changePending(leader) -> RejectionReason.CHANGE_PENDING
         next == null -> RejectionReason.UNKNOWN_REPLICA
+        replacesActive(change) -> RejectionReason.OLD_INCARNATION_ACTIVE
         givesVoteTooEarly(change) -> RejectionReason.NOT_CAUGHT_UP
         !next.isQuorum(reachable()) -> RejectionReason.WOULD_LOSE_QUORUM
         else -> null
@@ -30,14 +31,22 @@
 private fun StepScope.changePending(leader: Stance.Leader): Boolean =
     state.log.newest.index > state.commitIndex || leader.firstIndex > state.commitIndex
 
+// A second process that was started with an empty folder must not take a working replica's place.
+private fun StepScope.replacesActive(change: MembershipChange): Boolean =
+    change is MembershipChange.AddLearner && state.membership.roles.keys.any {
+        it.host == change.replica.host && it != change.replica && (it == state.id || answers(it))
+    }
+
+private fun StepScope.answers(peer: ReplicaId): Boolean =
+    peer in reachable() && state.peers[peer]?.heardMillis != null
+
 private fun StepScope.givesVoteTooEarly(change: MembershipChange): Boolean =
     change is MembershipChange.Promote && change.replica != state.id && !hasCaughtUp(change.replica)
 
 /** Whether [peer] answers, holds the newest membership and lacks few entries. */
 internal fun StepScope.hasCaughtUp(peer: ReplicaId): Boolean {
     val progress = state.peers[peer] ?: return false
-    return peer in reachable() &&
-        progress.heardMillis != null &&
+    return answers(peer) &&
         progress.matchIndex >= state.log.newest.index &&
         progress.matchIndex >= state.lastIndex - state.settings.catchUpEntries
 }
--- a/core/src/main/kotlin/org/auburnlever/consensus/ReplicaEffect.kt
+++ b/core/src/main/kotlin/org/auburnlever/consensus/ReplicaEffect.kt
@@ -14,7 +14,12 @@
     /** Replace the state machine by [snapshot]. */
     data class Restore(val snapshot: Snapshot) : ReplicaEffect
 
-    /** A proposal was appended at [index] in [term]; it is decided when an entry at [index] is applied. */
+    /**
+     * A proposal was appended at [index] in [term]; it is decided when an entry at [index] is applied.
+     *
+     * If that entry has [term], it is the proposal's; otherwise the proposal has no effect. If a [Restore] passes
+     * [index] first, its effect is not known.
+     */
     data class Accepted(val proposalId: Long, val index: Long, val term: Long) : ReplicaEffect
 
     /** A proposal or read was not taken and has had no effect. */
@@ -30,10 +35,23 @@
 /** Why a replica did not take a proposal. */
 enum class RejectionReason {
     NOT_LEADER,
+
+    /** Another change is not committed yet, or the leader has not committed an entry of its term. */
     CHANGE_PENDING,
     NOT_CAUGHT_UP,
+
+    /** The change names no member, or an incarnation older than the member. */
     UNKNOWN_REPLICA,
+
+    /** The leader is handing over, or lost leadership before a read was confirmed. */
     LEADERSHIP_LOST,
+
+    /** The voters after the change that answer the leader would be no majority. */
     WOULD_LOSE_QUORUM,
+
+    /** The command is larger than one message may be. */
     TOO_LARGE,
+
+    /** The incarnation to replace still answers, so its disk is not lost. */
+    OLD_INCARNATION_ACTIVE,
 }
--- a/core/src/test/kotlin/org/auburnlever/consensus/FaultTest.kt
+++ b/core/src/test/kotlin/org/auburnlever/consensus/FaultTest.kt
@@ -129,6 +129,20 @@
         assertTrue(expected in leader.running.step(remove, cluster.nowMillis).effects)
     }
 
+    /** Guards against a second process under the same name that takes the vote of a working replica. */
+    @Test
+    fun `a replica that answers is not replaced by a newer incarnation`() {
+        val cluster = started()
+        val leader = cluster.established()
+        cluster.advanceFor(500)
+        for (host in cluster.hosts) {
+            val add = MembershipChange.AddLearner(host.id.copy(incarnation = 7))
+            val effects = leader.running.step(ReplicaInput.ChangeMembership(1, add), cluster.nowMillis).effects
+            val expected = ReplicaEffect.Rejected(1, RejectionReason.OLD_INCARNATION_ACTIVE, leader.id)
+            assertEquals(listOf(expected), effects.filterIsInstance<ReplicaEffect.Rejected>())
+        }
+    }
+
     /** Guards against two changes whose majorities do not overlap. */
     @Test
     fun `a second change is refused while one is pending`() {
