--- a/node/src/main/kotlin/org/auburnlever/storage/Disk.kt
+++ b/node/src/main/kotlin/org/auburnlever/storage/Disk.kt
@@ -47,13 +47,13 @@
 /** Makes created, renamed and removed files of [folder] durable. */
 internal fun syncFolder(folder: Path) = FileChannel.open(folder, StandardOpenOption.READ).use { it.force(true) }
 
-/** Creates [file] with [bytes] so that after a crash it is either complete or absent. */
-internal fun Disk.createWhole(file: Path, bytes: ByteArray) {
+/** Creates [file] with the bytes of all [parts] so that after a crash it is either complete or absent. */
+internal fun Disk.createWhole(file: Path, vararg parts: ByteArray) {
     val temporary = file.resolveSibling("${file.fileName}$TEMPORARY_SUFFIX")
     Files.deleteIfExists(temporary)
-    open(temporary).use {
-        it.append(bytes)
-        it.sync()
+    open(temporary).use { output ->
+        parts.forEach(output::append)
+        output.sync()
     }
     Files.move(temporary, file, StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING)
     syncFolder(file.parent)
--- a/node/src/main/kotlin/org/auburnlever/storage/Frames.kt
+++ b/node/src/main/kotlin/org/auburnlever/storage/Frames.kt
@@ -12,11 +12,13 @@
 internal data class ReadFrames(val payloads: List<ByteArray>, val validBytes: Long)
 
 /** [payload] with its length and CRC32C checksums. */
-internal fun frameOf(payload: ByteArray): ByteArray {
-    val frame = ByteBuffer.allocate(HEADER_BYTES + payload.size)
-    frame.putInt(payload.size).putInt(checksum(payload, 0, payload.size))
-    frame.putInt(checksum(frame.array(), 0, CHECKED_HEADER_BYTES))
-    return frame.put(payload).array()
+internal fun frameOf(payload: ByteArray): ByteArray = frameHeaderOf(payload) + payload
+
+/** What precedes [payload] in a frame. */
+internal fun frameHeaderOf(payload: ByteArray): ByteArray {
+    val header = ByteBuffer.allocate(HEADER_BYTES)
+    header.putInt(payload.size).putInt(checksum(payload, 0, payload.size))
+    return header.putInt(checksum(header.array(), 0, CHECKED_HEADER_BYTES)).array()
 }
 
 /**
--- a/node/src/main/kotlin/org/auburnlever/storage/LogStore.kt
+++ b/node/src/main/kotlin/org/auburnlever/storage/LogStore.kt
@@ -76,7 +76,7 @@
     }
 
     private fun install(snapshot: Snapshot) {
-        disk.createWhole(files.snapshot(snapshot.lastIndex).file, encodeRecord(snapshot))
+        disk.writeSnapshot(files.snapshot(snapshot.lastIndex), snapshot)
         continueAfterSnapshot()
     }
 
--- a/node/src/main/kotlin/org/auburnlever/storage/RecoveredFiles.kt
+++ b/node/src/main/kotlin/org/auburnlever/storage/RecoveredFiles.kt
@@ -31,13 +31,6 @@
     return chain
 }
 
-private fun readSnapshot(file: SnapshotFile): Snapshot {
-    val frames = readFrames(file.file, Files.readAllBytes(file.file), mayBeTorn = false)
-    val snapshot = decodeRecord<Snapshot>(file.file, frames)
-    if (snapshot.lastIndex != file.lastIndex) throw corrupt(file.file, 0, "it ends at index ${snapshot.lastIndex}")
-    return snapshot
-}
-
 private fun replay(segment: SegmentFile, image: LogImage, isLast: Boolean) {
     val bytes = Files.readAllBytes(segment.file)
     val frames = readFrames(segment.file, bytes, mayBeTorn = isLast)
--- a/node/src/test/kotlin/org/auburnlever/storage/LogStoreTest.kt
+++ b/node/src/test/kotlin/org/auburnlever/storage/LogStoreTest.kt
@@ -72,7 +72,7 @@
     fun `a snapshot without its segment is combined with the older segment`() {
         format()
         opened { it.store.write(listOf(vote, append(1..9))) }
-        SystemDisk.createWhole(LogFiles(folder).snapshot(5).file, encodeRecord(snapshot(5)))
+        SystemDisk.writeSnapshot(LogFiles(folder).snapshot(5), snapshot(5))
         repeat(2) { assertEquals(RecoveredLog(3, replica, snapshot(5), (6L..9L).map { entry(it) }), recovered()) }
         assertTrue(files("log-").single().name.contains("5-"))
     }
@@ -127,6 +127,22 @@
         assertTrue(Files.exists(second))
     }
 
+    /** Guards against a state machine or an identity that starts from damaged bytes. */
+    @Test
+    fun `a damaged snapshot or identity stops the start`() {
+        format()
+        opened { it.store.write(listOf(append(1..9), DurableWrite.Install(snapshot(5)))) }
+        for (file in listOf("snapshot-", "identity").map { files(it).single() }) {
+            val intact = Files.readAllBytes(file)
+            for (position in intact.indices) {
+                Files.write(file, intact.copyOf().also { it[position] = (it[position] + 1).toByte() })
+                assertEquals(file, assertIs<StorageError.Corrupt>(open().getError(), "byte $position").file)
+            }
+            Files.write(file, intact)
+        }
+        assertEquals(snapshot(5), recovered().snapshot)
+    }
+
     /** Guards against a removed file that looks like an empty log, which would return a vote already given. */
     @Test
     fun `missing files stop the start`() {
