Test auburnctl against a stand-in server and correct two faults

Cause: the commands had no tests.

`explain job NAME` failed because the parser took `job` for the subcommand; the parser now uses the strict order. Each command waited 2 s for Netty's event loops at its end; the client now closes without waiting. A new key is announced with auburn-first-attempt until an attempt is lost.

Ruled out: Choice arguments over a list of strings, which the parser accepts with any value; explain uses an enum.

--- a/auburnctl/src/main/kotlin/org/auburnlever/ctl/ExplainCommand.kt
+++ b/auburnctl/src/main/kotlin/org/auburnlever/ctl/ExplainCommand.kt
@@ -7,14 +7,10 @@
 /** Shows recorded decisions. */
 class ExplainCommand(selection: Selection) :
     ReadCommand("explain", "Show the recorded decisions about a job, account or worker", selection) {
-    private val kind by argument(
-        ArgType.Choice(listOf("job", "account", "worker"), { it }),
-        "kind",
-        "What to explain",
-    )
+    private val kind by argument(ArgType.Choice<ExplainKind>(), "kind", "What to explain")
     private val subject by argument(ArgType.String, "name", "Job id, account name or worker name")
 
-    override val path: String get() = "${Paths.EXPLAIN}/$kind/${pathSegment(subject)}"
+    override val path: String get() = "${Paths.EXPLAIN}/${kind.name.lowercase()}/${pathSegment(subject)}"
 
     override fun show(console: Console, json: String) {
         val view = answerJson.decodeFromString(ExplainView.serializer(), json)
--- /dev/null
+++ b/auburnctl/src/main/kotlin/org/auburnlever/ctl/ExplainKind.kt
@@ -0,0 +1,8 @@
+package org.auburnlever.ctl
+
+/** What recorded decisions are about. */
+enum class ExplainKind {
+    JOB,
+    ACCOUNT,
+    WORKER,
+}
--- a/auburnctl/src/main/kotlin/org/auburnlever/ctl/JobCommands.kt
+++ b/auburnctl/src/main/kotlin/org/auburnlever/ctl/JobCommands.kt
@@ -20,8 +20,9 @@
         console.err.println("key: $key")
         val body = Codec.json.encodeToString(JobSpec.serializer(), spec).encodeToByteArray()
         val headers = mapOf(Headers.IDEMPOTENCY_KEY to key)
-        val answer = client.send(ServerRequest(HttpMethod.POST, Paths.JOBS, body, headers = headers))
-        return console.endChange(answer) { console.showJob(it.text) }
+        val isNew = givenKey == null
+        val request = ServerRequest(HttpMethod.POST, Paths.JOBS, body, headers = headers, keyIsNew = isNew)
+        return console.endChange(client.send(request)) { console.showJob(it.text) }
     }
 }
 
--- a/auburnctl/src/main/kotlin/org/auburnlever/ctl/Main.kt
+++ b/auburnctl/src/main/kotlin/org/auburnlever/ctl/Main.kt
@@ -31,7 +31,8 @@
 
 @OptIn(ExperimentalCli::class)
 private fun parser(selection: Selection): ArgParser {
-    val parser = ArgParser("auburnctl").apply { throwOnUsageError() }
+    // In the strict order an argument may equal the name of a subcommand, as in `explain job NAME`.
+    val parser = ArgParser("auburnctl", strictSubcommandOptionsOrder = true).apply { throwOnUsageError() }
     commands(selection).forEach { parser.subcommands(it) }
     return parser
 }
--- a/auburnctl/src/main/kotlin/org/auburnlever/ctl/RequestCommand.kt
+++ b/auburnctl/src/main/kotlin/org/auburnlever/ctl/RequestCommand.kt
@@ -27,7 +27,8 @@
         key?.let { console.err.println("key: $it") }
         val path = "${Paths.SERVICES}/${pathSegment(service)}/requests"
         val body = bodyFile?.let { readBytes(it) } ?: ByteArray(0)
-        val request = ServerRequest(HttpMethod.POST, path, body, mediaType(), headers(key))
+        val isNew = key != null && givenKey == null
+        val request = ServerRequest(HttpMethod.POST, path, body, mediaType(), headers(key), isNew)
         return console.endChange(client.send(request)) { console.out.write(it.body) }
     }
 
--- a/auburnctl/src/main/kotlin/org/auburnlever/ctl/ServerClient.kt
+++ b/auburnctl/src/main/kotlin/org/auburnlever/ctl/ServerClient.kt
@@ -12,13 +12,14 @@
 import org.auburnlever.wire.Headers
 import java.util.concurrent.CompletionException
 
-/** A request to the HTTP interface. */
+/** A request to the HTTP interface; [keyIsNew] says that its key was never sent before this request. */
 class ServerRequest(
     val method: HttpMethod,
     val path: String,
     val body: ByteArray = ByteArray(0),
     val contentType: MediaType = MediaType.JSON,
     val headers: Map<String, String> = emptyMap(),
+    val keyIsNew: Boolean = false,
 )
 
 /**
@@ -51,11 +52,14 @@
             ?: ServerAnswer.None(failures.joinToString("; ") { it.message }, maybeSent)
     }
 
-    override fun close() = factory.close()
+    /** Starts closing connections; waiting would keep each command for the 2 s that Netty's event loops take. */
+    override fun close() {
+        factory.closeAsync()
+    }
 
     private fun attempt(server: String, request: ServerRequest, earlierLost: Boolean): ServerAnswer =
         try {
-            val response = client(server).execute(toHttp(request)).aggregate().join()
+            val response = client(server).execute(toHttp(request, earlierLost)).aggregate().join()
             answered(server, response, earlierLost)
         } catch (e: CompletionException) {
             val cause = e.cause
@@ -79,10 +83,11 @@
             .maxResponseLength(MAX_RESPONSE_BYTES)
             .build()
 
-    private fun toHttp(request: ServerRequest): HttpRequest {
+    private fun toHttp(request: ServerRequest, earlierLost: Boolean): HttpRequest {
         val headers = RequestHeaders.builder(request.method, request.path)
         if (request.body.isNotEmpty()) headers.contentType(request.contentType)
         token?.let { headers.add("authorization", "Bearer $it") }
+        if (request.keyIsNew && !earlierLost) headers.add(Headers.FIRST_ATTEMPT, "true")
         request.headers.forEach { (name, value) -> headers.add(name, value) }
         return HttpRequest.of(headers.build(), HttpData.wrap(request.body))
     }
--- /dev/null
+++ b/auburnctl/src/test/kotlin/org/auburnlever/ctl/StandInServer.kt
@@ -0,0 +1,56 @@
+package org.auburnlever.ctl
+
+import com.linecorp.armeria.common.AggregatedHttpRequest
+import com.linecorp.armeria.common.HttpData
+import com.linecorp.armeria.common.HttpRequest
+import com.linecorp.armeria.common.HttpResponse
+import com.linecorp.armeria.common.HttpStatus
+import com.linecorp.armeria.common.MediaType
+import com.linecorp.armeria.common.ResponseHeaders
+import com.linecorp.armeria.server.HttpService
+import com.linecorp.armeria.server.Server
+import java.net.InetSocketAddress
+import java.util.concurrent.CopyOnWriteArrayList
+
+/** A server on loopback that records requests and gives every one the same [answer]. */
+internal class StandInServer(private val answer: () -> HttpResponse) : AutoCloseable {
+    val requests = CopyOnWriteArrayList<AggregatedHttpRequest>()
+
+    private val server = Server.builder()
+        .http(InetSocketAddress("127.0.0.1", 0))
+        .serviceUnder("/", HttpService { _, request -> record(request) })
+        .workerGroup(1)
+        .gracefulShutdownTimeoutMillis(0, 0)
+        .build()
+        .also { it.start().join() }
+
+    val address: String get() = "127.0.0.1:${server.activeLocalPort()}"
+
+    /** Starts the stop; waiting would add the 2 s that Netty's event loops take. */
+    override fun close() {
+        server.stop()
+    }
+
+    private fun record(request: HttpRequest): HttpResponse =
+        HttpResponse.of(
+            request.aggregate().thenApply {
+                requests += it
+                answer()
+            },
+        )
+}
+
+internal fun jsonAnswer(json: String, status: HttpStatus = HttpStatus.OK): HttpResponse =
+    HttpResponse.of(status, MediaType.JSON, json)
+
+internal fun errorAnswer(status: HttpStatus, code: String, outcome: String): HttpResponse {
+    val headers = ResponseHeaders.builder(status).contentType(MediaType.JSON).add("auburn-outcome", outcome).build()
+    val body = """{"code":"$code","message":"the reason","outcome":"$outcome"}"""
+    return HttpResponse.of(headers, HttpData.ofUtf8(body))
+}
+
+/** Resets the stream after the request was received, as a host does that dies before it answers. */
+internal fun lostAnswer(): HttpResponse = HttpResponse.streaming().apply { abort() }
+
+/** Nothing listens here: port 1 of loopback needs privileges that tests don't have. */
+internal const val CLOSED_ADDRESS = "127.0.0.1:1"
