--- a/auburnd/src/main/kotlin/org/auburnlever/daemon/Daemon.kt
+++ b/auburnd/src/main/kotlin/org/auburnlever/daemon/Daemon.kt
@@ -5,6 +5,9 @@
 import com.github.michaelbull.result.fold
 import com.github.michaelbull.result.map
 import org.auburnlever.observe.configureLogging
+import org.auburnlever.settings.LogFormat
+import org.auburnlever.settings.LogLevel
+import org.auburnlever.settings.LogSettings
 import org.auburnlever.settings.Settings
 import org.auburnlever.settings.SettingsError
 import org.auburnlever.settings.loadSettings
@@ -14,6 +17,8 @@
 
 /** Runs the command line [args] with [actions]; results go to [out], problems to [err]. */
 fun runAuburnd(args: Array<String>, actions: DaemonActions, out: PrintStream, err: PrintStream): ExitCode {
+    // Logback's own default writes DEBUG lines of all libraries to standard output until it is replaced.
+    configureLogging(LogSettings(LogFormat.TEXT, LogLevel.INFO))
     val arguments = DaemonArguments()
     return try {
         arguments.parse(args)
--- a/core/src/main/kotlin/org/auburnlever/configuration/ProblemCollector.kt
+++ b/core/src/main/kotlin/org/auburnlever/configuration/ProblemCollector.kt
@@ -9,9 +9,9 @@
     /** The problems so far, in the order in which they were found. */
     val problems: List<FieldProblem> get() = found.toList()
 
-    /** Adds a problem; further problems of the same field are left out, since they mostly follow from the first. */
+    /** Adds a problem; further ones of the same field or inside it are left out, since they follow from the first. */
     fun add(path: String, value: Any?, permitted: String) {
-        if (found.none { it.path == path }) found += FieldProblem(path, value.toString(), permitted)
+        if (found.none { path.isAtOrInside(it.path) }) found += FieldProblem(path, value.toString(), permitted)
     }
 
     /** Requires [value] to be in [range]. */
@@ -40,7 +40,7 @@
 
     /** Requires [value] to be one of [known], which are described as [what]. */
     fun <T> requireKnown(path: String, value: T, known: Collection<T>, what: String) {
-        if (value !in known) add(path, "\"$value\"", "$what: ${known.joinToString()}")
+        if (value !in known) add(path, "\"$value\"", "$what: ${known.distinct().joinToString()}")
     }
 
     /** Requires the values, given with their paths, to be distinct. [show] hides values that must not be printed. */
@@ -60,3 +60,6 @@
         show: (String) -> String = { "\"$it\"" },
     ) = requireDistinct(values.mapIndexed { index, value -> "$path[$index]$field" to value }, show)
 }
+
+private fun String.isAtOrInside(path: String): Boolean =
+    this == path || startsWith("$path.") || startsWith("$path[")
--- a/node/src/main/kotlin/org/auburnlever/settings/SettingsCheck.kt
+++ b/node/src/main/kotlin/org/auburnlever/settings/SettingsCheck.kt
@@ -17,8 +17,9 @@
     checkAddress("httpAddress", settings.httpAddress)
     checkAddress("peerAddress", settings.peerAddress)
     checkHosts(settings.hosts)
-    // Without hosts each name would be reported as unknown, which hides the cause.
-    if (settings.hosts.isNotEmpty()) checkSelf(settings)
+    requireName("host", settings.self.host.value)
+    // Without hosts, or without this host's name, further problems would only hide the cause.
+    if (settings.hosts.isNotEmpty() && settings.self.host.value.isNotEmpty()) checkSelf(settings)
     if (settings.hosts.isNotEmpty()) checkGroups(settings)
     checkDataFolder(settings)
     checkOperators(settings.genesisOperators, settings.genesisThreshold, "genesisOperators", "genesisThreshold")
--- a/node/src/main/kotlin/org/auburnlever/settings/SettingsFields.kt
+++ b/node/src/main/kotlin/org/auburnlever/settings/SettingsFields.kt
@@ -32,7 +32,8 @@
 /** This host by the outer fields; [checkSettings] compares it with its entry in [hosts]. */
 private fun SettingsReader.self(hosts: List<Peer>): Peer {
     val name = HostName(string("host"))
-    val listed = hosts.firstOrNull { it.host == name }
+    // An entry without an address has its own problem and must not spread it to the defaults.
+    val listed = hosts.firstOrNull { it.host == name && it.address.isNotEmpty() }
     return Peer(
         host = name,
         region = RegionName(string("region")),
--- a/node/src/main/kotlin/org/auburnlever/settings/SettingsReader.kt
+++ b/node/src/main/kotlin/org/auburnlever/settings/SettingsReader.kt
@@ -47,7 +47,7 @@
     /** Reads a list of objects; each is read by [read] and must have no other fields. */
     fun <T> objects(key: String, read: SettingsReader.() -> T): List<T> {
         val elements = elements(key, required = true)
-        return elements.mapIndexedNotNull { index, element -> element(pathOf("$key[$index]"), element, read) }
+        return elements.mapIndexed { index, element -> element(pathOf("$key[$index]"), element, read) }
     }
 
     /** Reports every field that was not read. */
@@ -55,9 +55,10 @@
         (json.keys - known).forEach { collector.add(pathOf(it), "this unknown field", known.sorted().joinToString()) }
     }
 
-    private fun <T> element(at: String, element: JsonElement, read: SettingsReader.() -> T): T? {
+    /** An element of another type reads as an empty object, so that the later ones keep their index. */
+    private fun <T> element(at: String, element: JsonElement, read: SettingsReader.() -> T): T {
         if (element !is JsonObject) collector.add(at, element, "an object")
-        val reader = SettingsReader(at, element as? JsonObject ?: return null, collector)
+        val reader = SettingsReader(at, element as? JsonObject ?: JsonObject(emptyMap()), collector)
         return reader.read().also { reader.refuseUnknownFields() }
     }
 
@@ -74,7 +75,7 @@
     }
 
     private fun <T> missing(key: String, placeholder: T): T {
-        collector.add(pathOf(key), "a missing field", "a value, because it has no default")
+        collector.add(pathOf(key), "a missing field", "a value; there is no default")
         return placeholder
     }
 }
