Add the host: group runners, ledger leadership, clients and HTTP server

Cause: the replicas, routing and services need one process that carries bytes, time and fsync between them.

Ruled out: nothing yet.

--- a/auburnd/src/main/kotlin/org/auburnlever/daemon/Main.kt
+++ b/auburnd/src/main/kotlin/org/auburnlever/daemon/Main.kt
@@ -1,14 +1,24 @@
 package org.auburnlever.daemon
 
-import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.flatMap
+import org.auburnlever.host.Host
+import org.auburnlever.host.formatHost
+import org.auburnlever.settings.Settings
 import kotlin.system.exitProcess
 
 /** Runs `auburnd` and ends the process with one of the codes of [ExitCode]. */
 fun main(args: Array<String>) {
-    exitProcess(runAuburnd(args, actions, System.out, System.err).code)
+    exitProcess(runAuburnd(args, DaemonActions(::formatHost, ::runHost), System.out, System.err).code)
 }
 
-private val actions = DaemonActions(
-    format = { Err("this build contains no storage") },
-    run = { _, _ -> Err("this build contains no host") },
-)
+/** Serves until the process is told to end; a termination signal lets requests in progress finish. */
+private fun runHost(settings: Settings, sharedKey: ByteArray): Result<Unit, String> {
+    val host = Host(settings, sharedKey)
+    val onSignal = Thread {
+        // Without halt the process would end with the signal's exit code, as if it had been interrupted.
+        if (host.shutdown()) Runtime.getRuntime().halt(ExitCode.SUCCESS.code)
+    }
+    Runtime.getRuntime().addShutdownHook(onSignal)
+    return host.start().flatMap { host.awaitEnd() }
+}
--- /dev/null
+++ b/node/src/main/kotlin/org/auburnlever/entry/JobService.kt
@@ -0,0 +1,79 @@
+package org.auburnlever.entry
+
+import com.github.michaelbull.result.fold
+import com.linecorp.armeria.common.AggregatedHttpRequest
+import com.linecorp.armeria.common.HttpMethod
+import com.linecorp.armeria.common.HttpRequest
+import com.linecorp.armeria.common.HttpResponse
+import com.linecorp.armeria.common.HttpStatus
+import com.linecorp.armeria.server.HttpService
+import com.linecorp.armeria.server.ServiceRequestContext
+import kotlinx.coroutines.future.await
+import kotlinx.coroutines.future.future
+import org.auburnlever.codec.Codec
+import org.auburnlever.configuration.ClientAccount
+import org.auburnlever.ledger.RequestKey
+import org.auburnlever.wire.ErrorCode
+import org.auburnlever.wire.Headers
+import org.auburnlever.wire.JobSpec
+import org.auburnlever.wire.JobView
+
+/**
+ * `POST /v1/jobs` submits a job, `GET /v1/jobs/{id}` reads it and `DELETE /v1/jobs/{id}` cancels it.
+ *
+ * [isDraining] says whether new jobs are refused because the host shuts down.
+ */
+class JobService(
+    private val context: EntryContext,
+    private val jobs: JobSubmissions,
+    private val isDraining: () -> Boolean,
+) : HttpService {
+    private val authenticator = Authenticator(context.inForce)
+
+    override fun serve(ctx: ServiceRequestContext, req: HttpRequest): HttpResponse {
+        ctx.setMaxRequestLength(MAX_JOB_BYTES)
+        return HttpResponse.of(context.scope.future { answer(ctx.pathParam("id"), req) })
+    }
+
+    private suspend fun answer(jobId: String?, req: HttpRequest): HttpResponse {
+        val account = authenticator.account(req.headers())
+        return when {
+            context.inForce() == null -> refusal(ErrorCode.NO_CONFIGURATION, "no bundle is in force yet")
+            account == null -> refusal(ErrorCode.UNAUTHORIZED, "not a token of a client account")
+            jobId == null -> submit(account, req.aggregate().await())
+            req.method() == HttpMethod.DELETE -> jobs.cancel(jobId, account.name).toHttpResponse()
+            else -> jobs.read(jobId, account.name).toHttpResponse()
+        }
+    }
+
+    private suspend fun submit(account: ClientAccount, request: AggregatedHttpRequest): HttpResponse {
+        val key = request.headers().get(Headers.IDEMPOTENCY_KEY)
+        return when {
+            isDraining() -> refusal(ErrorCode.SHUTTING_DOWN, "the entry host is shutting down")
+            key == null -> refusal(ErrorCode.BAD_REQUEST, "a job needs the header ${Headers.IDEMPOTENCY_KEY}")
+            else -> submit(account, RequestKey(account.name, key), request)
+        }
+    }
+
+    private suspend fun submit(
+        account: ClientAccount,
+        key: RequestKey,
+        request: AggregatedHttpRequest,
+    ): HttpResponse =
+        Codec.json.decode(JobSpec.serializer(), request.contentUtf8()).fold(
+            { spec ->
+                val digest = sha256Hex(request.content().array())
+                jobs.submit(account, key, digest, spec).toHttpResponse(HttpStatus.ACCEPTED)
+            },
+            { refusal(ErrorCode.BAD_REQUEST, "not a job: $it") },
+        )
+
+    private fun JobAnswer.toHttpResponse(status: HttpStatus = HttpStatus.OK): HttpResponse = when (this) {
+        is JobAnswer.Known -> jsonResponse(JobView.serializer(), view, status)
+        is JobAnswer.Ended -> outcome.toHttpResponse()
+    }
+
+    private companion object {
+        const val MAX_JOB_BYTES = 262_144L
+    }
+}
--- /dev/null
+++ b/node/src/main/kotlin/org/auburnlever/entry/JobSubmissions.kt
@@ -0,0 +1,149 @@
+package org.auburnlever.entry
+
+import com.github.michaelbull.result.fold
+import kotlinx.serialization.builtins.nullable
+import org.auburnlever.codec.Codec
+import org.auburnlever.configuration.Bundle
+import org.auburnlever.configuration.ClientAccount
+import org.auburnlever.host.LedgerClient
+import org.auburnlever.host.SubmitError
+import org.auburnlever.ledger.ClaimPurpose
+import org.auburnlever.ledger.LedgerCommand
+import org.auburnlever.ledger.LedgerReply
+import org.auburnlever.ledger.RequestKey
+import org.auburnlever.peer.LedgerQuery
+import org.auburnlever.routing.KeyOwner
+import org.auburnlever.wire.ErrorCode
+import org.auburnlever.wire.JobSpec
+import org.auburnlever.wire.JobView
+import org.auburnlever.wire.Outcome
+import org.auburnlever.world.AccountName
+import org.auburnlever.world.DomainName
+import org.auburnlever.world.HostName
+import java.util.UUID
+
+/** Answer to a question about a job. */
+sealed interface JobAnswer {
+    /** The job is recorded in its ledger. */
+    data class Known(val view: JobView) : JobAnswer
+
+    /** There is no view of the job; [outcome] says whether it may run. */
+    data class Ended(val outcome: Outcome) : JobAnswer
+}
+
+/**
+ * Submits jobs to the ledger of their failure domain, reads and cancels them.
+ *
+ * The owner of the job's key records the chosen failure domain first, so that a resend through any entry host reaches
+ * the same ledger. [choose] picks the failure domain of a job that names none.
+ */
+class JobSubmissions(
+    private val host: HostName,
+    private val ledgers: LedgerClient,
+    private val inForce: () -> Bundle?,
+    private val choose: (ClientAccount, JobSpec) -> DomainName,
+) {
+    /** Submits a job, or finds the job that was submitted with [key] before. */
+    suspend fun submit(account: ClientAccount, key: RequestKey, bodySha256Hex: String, spec: JobSpec): JobAnswer {
+        val bundle = inForce()
+        val wanted = spec.failureDomain
+        return when {
+            bundle == null -> refused(ErrorCode.NO_CONFIGURATION, "no bundle is in force yet")
+            wanted != null && bundle.failureDomains.none { it.name == wanted } ->
+                refused(ErrorCode.BAD_REQUEST, "failureDomain $wanted is not in the bundle")
+            else -> KeyOwner(bundle.claimDomains).owner(key).fold(
+                { owner -> claim(owner, key, bodySha256Hex, spec, wanted ?: choose(account, spec)) },
+                { refused(ErrorCode.BAD_REQUEST, it.message) },
+            )
+        }
+    }
+
+    /** Reads the job of [account] with [jobId]. */
+    suspend fun read(jobId: String, account: AccountName): JobAnswer {
+        val domain = domainOf(jobId) ?: return noSuchJob(jobId)
+        return ledgers.read(domain, LedgerQuery.Job(jobId, account), READ_MILLIS).fold(
+            { json ->
+                val view = Codec.json.decodeFromString(JobView.serializer().nullable, json)
+                view?.let { JobAnswer.Known(it) } ?: noSuchJob(jobId)
+            },
+            { unreachable(it.message) },
+        )
+    }
+
+    /** Cancels the job of [account] with [jobId]. */
+    suspend fun cancel(jobId: String, account: AccountName): JobAnswer {
+        val domain = domainOf(jobId) ?: return noSuchJob(jobId)
+        return ledgers.submit(domain, LedgerCommand.CancelJob(jobId, account), SUBMIT_MILLIS)
+            .fold({ it.toJobAnswer() }, { unreachable(it.message) })
+    }
+
+    private suspend fun claim(
+        owner: DomainName,
+        key: RequestKey,
+        bodySha256Hex: String,
+        spec: JobSpec,
+        domain: DomainName,
+    ): JobAnswer {
+        val purpose = ClaimPurpose.Job(jobId(domain, key), domain)
+        val claimId = UUID.randomUUID().toString()
+        val claim = LedgerCommand.Claim(key, bodySha256Hex, purpose, claimId, host, SUBMIT_MILLIS)
+        return ledgers.submit(owner, claim, SUBMIT_MILLIS).fold(
+            { reply -> routed(reply, purpose)?.let { record(it, key, bodySha256Hex, spec) } ?: reply.toJobAnswer() },
+            // An earlier attempt with this key may have been taken, so an owner out of reach leaves the outcome open.
+            { unreachable(it.message) },
+        )
+    }
+
+    /** Where the job of this key goes: to the first claim's failure domain. */
+    private fun routed(reply: LedgerReply, wanted: ClaimPurpose.Job): ClaimPurpose.Job? = when (reply) {
+        is LedgerReply.ClaimGranted -> wanted
+        is LedgerReply.ClaimExists -> reply.purpose as? ClaimPurpose.Job
+        else -> null
+    }
+
+    private suspend fun record(
+        purpose: ClaimPurpose.Job,
+        key: RequestKey,
+        bodySha256Hex: String,
+        spec: JobSpec,
+    ): JobAnswer {
+        val command = LedgerCommand.SubmitJob(purpose.jobId, key, bodySha256Hex, spec)
+        return ledgers.submit(purpose.failureDomain, command, SUBMIT_MILLIS)
+            .fold({ it.toJobAnswer() }, { unreachable(it) })
+    }
+
+    private fun LedgerReply.toJobAnswer(): JobAnswer = when (this) {
+        is LedgerReply.Job -> JobAnswer.Known(view)
+        is LedgerReply.Rejected -> JobAnswer.Ended(refusal)
+        is LedgerReply.ClaimExists -> refused(ErrorCode.KEY_REUSED, "the key belongs to a service request")
+        is LedgerReply.ClaimGranted, LedgerReply.Done ->
+            JobAnswer.Ended(Outcome.Unknown(ErrorCode.INTERNAL, "unexpected reply of the ledger"))
+    }
+
+    private fun unreachable(error: SubmitError): JobAnswer = unreachable(error.message)
+
+    private companion object {
+        /** Longer than an election (at most 2 s), so that a job survives the loss of a leader. */
+        const val SUBMIT_MILLIS = 5_000L
+        const val READ_MILLIS = 5_000L
+    }
+}
+
+/** Id of the job that was submitted with [key] and runs in [domain]; any host can tell the domain from it. */
+internal fun jobId(domain: DomainName, key: RequestKey): String {
+    val digest = sha256Hex("${key.account}\n${key.key}".encodeToByteArray())
+    return "$domain.${digest.take(JOB_DIGEST_CHARS)}"
+}
+
+private fun domainOf(jobId: String): DomainName? =
+    JOB_ID.matchEntire(jobId)?.let { DomainName(it.groupValues[1]) }
+
+private fun noSuchJob(jobId: String): JobAnswer = refused(ErrorCode.NOT_FOUND, "no job \"$jobId\"")
+
+private fun refused(code: ErrorCode, message: String): JobAnswer = JobAnswer.Ended(Outcome.Refused(code, message))
+
+private fun unreachable(message: String): JobAnswer =
+    JobAnswer.Ended(Outcome.Unknown(ErrorCode.DOMAIN_UNREACHABLE, message))
+
+private const val JOB_DIGEST_CHARS = 24
+private val JOB_ID = Regex("([a-z0-9-]{1,63})\\.([0-9a-f]{$JOB_DIGEST_CHARS})")
--- /dev/null
+++ b/node/src/main/kotlin/org/auburnlever/host/ClusterConfigurationClient.kt
@@ -0,0 +1,49 @@
+package org.auburnlever.host
+
+import com.github.michaelbull.result.Result
+import org.auburnlever.codec.Codec
+import org.auburnlever.configuration.Bundle
+import org.auburnlever.configuration.ConfigurationCommand
+import org.auburnlever.configuration.ConfigurationReply
+import org.auburnlever.configuration.ConfigurationState
+import org.auburnlever.peer.GroupName
+import org.auburnlever.peer.PeerReply
+import org.auburnlever.peer.PeerRequest
+import org.auburnlever.settings.CONFIGURATION_GROUP
+
+/** The configuration group's replica on this host. */
+internal class ConfigurationGroup(
+    val runner: GroupRunner<ConfigurationState, ConfigurationReply>,
+    activeBundle: ActiveBundle,
+    private val clock: HostClock,
+) {
+    init {
+        runner.afterBatch = { view -> view.state.accepted?.let { activeBundle.activate(it.bundle) } }
+    }
+
+    /** Submits [command] at this replica. */
+    suspend fun submit(command: ConfigurationCommand): Submission<ConfigurationReply> =
+        runner.propose(Codec.encode(StampedChange(clock.nowMillis(), command))).await()
+}
+
+/** Reaches the configuration group through its replicas on this host or over peer links. */
+internal class ClusterConfigurationClient(
+    private val calls: LeaderCalls,
+    private val local: ConfigurationGroup?,
+    private val activeBundle: ActiveBundle,
+) : ConfigurationClient {
+    override val inForce: Bundle? get() = activeBundle.bundle
+
+    override suspend fun submit(
+        command: ConfigurationCommand,
+        timeoutMillis: Long,
+    ): Result<ConfigurationReply, SubmitError> {
+        val ask = local?.let { group -> suspend { group.submit(command) } }
+        val question = LeaderQuestion(
+            GroupName(CONFIGURATION_GROUP),
+            ask,
+            PeerRequest.SubmitConfiguration(command),
+        ) { reply -> decode(reply) { (it as? PeerReply.Configuration)?.reply } }
+        return calls.ask(question, timeoutMillis)
+    }
+}
--- /dev/null
+++ b/node/src/main/kotlin/org/auburnlever/host/ClusterView.kt
@@ -0,0 +1,51 @@
+package org.auburnlever.host
+
+import kotlinx.serialization.json.JsonElement
+import kotlinx.serialization.json.buildJsonObject
+import kotlinx.serialization.json.put
+import org.auburnlever.observe.Dumpable
+import org.auburnlever.peer.DomainCapacity
+import org.auburnlever.peer.GroupLeader
+import org.auburnlever.peer.GroupName
+import org.auburnlever.peer.PeerMessage
+import org.auburnlever.world.DomainName
+import org.auburnlever.world.HostName
+import java.util.concurrent.ConcurrentHashMap
+
+/** What this host learned from the gossip of others; read without locks. */
+internal class ClusterView : Dumpable {
+    private val newest = ConcurrentHashMap<HostName, PeerMessage.Gossip>()
+    private val known = ConcurrentHashMap<GroupName, GroupLeader>()
+
+    /** The newest gossip of each host. */
+    val gossip: Map<HostName, PeerMessage.Gossip> get() = newest
+
+    /** The leader of [group] with the highest term heard of. */
+    fun leader(group: GroupName): GroupLeader? = known[group]
+
+    /** All known leaders. */
+    fun leaders(): Map<GroupName, GroupLeader> = known.toMap()
+
+    /** Takes in the gossip of a host. */
+    fun heard(gossip: PeerMessage.Gossip) {
+        newest[gossip.host] = gossip
+        gossip.leaders.forEach { (group, leader) -> heard(group, leader) }
+    }
+
+    /** Takes in who leads [group]; an older term changes nothing. */
+    fun heard(group: GroupName, leader: GroupLeader) {
+        known.merge(group, leader) { old, new -> if (new.term >= old.term) new else old }
+    }
+
+    /** Bundle version in force on each other host. */
+    fun bundleVersions(): Map<HostName, Long> = newest.mapValues { it.value.bundleVersion }
+
+    override fun dump(): JsonElement = buildJsonObject {
+        known.forEach { (group, leader) -> put(group.value, "${leader.leader} in term ${leader.term}") }
+        newest.forEach { (host, gossip) -> put("bundle version of $host", gossip.bundleVersion) }
+    }
+
+    /** Accelerators of each failure domain, as its ledger's leader reported them. */
+    fun capacities(): Map<DomainName, DomainCapacity> =
+        newest.values.mapNotNull { it.capacity }.associateBy { DomainName(it.domain) }
+}
--- /dev/null
+++ b/node/src/main/kotlin/org/auburnlever/host/DomainChoice.kt
@@ -0,0 +1,31 @@
+package org.auburnlever.host
+
+import org.auburnlever.configuration.Bundle
+import org.auburnlever.configuration.ClientAccount
+import org.auburnlever.peer.DomainCapacity
+import org.auburnlever.wire.JobSpec
+import org.auburnlever.world.DomainName
+import org.auburnlever.world.Shape
+
+/**
+ * Chooses the failure domain of a job that names none: one that guarantees the account a shape as large as the job's,
+ * else the one with the most free accelerators, else [own].
+ */
+internal fun chooseDomain(
+    account: ClientAccount,
+    spec: JobSpec,
+    bundle: Bundle?,
+    capacities: Map<DomainName, DomainCapacity>,
+    own: DomainName,
+): DomainName {
+    val guaranteed = account.guarantees.filter { it.shape.holds(spec.shape) }.map { it.failureDomain }
+    val known = bundle?.failureDomains.orEmpty().map { it.name }
+    val candidates = guaranteed.ifEmpty { known }
+    return candidates.maxByOrNull { capacities[it]?.acceleratorsFree ?: 0 } ?: own
+}
+
+private fun Shape.holds(other: Shape): Boolean =
+    other.taskCount <= taskCount &&
+        other.acceleratorsPerTask <= acceleratorsPerTask &&
+        other.coresPerTask <= coresPerTask &&
+        other.memoryMiBPerTask <= memoryMiBPerTask
--- /dev/null
+++ b/node/src/main/kotlin/org/auburnlever/host/GossipSender.kt
@@ -0,0 +1,64 @@
+package org.auburnlever.host
+
+import org.auburnlever.entry.DomainRouting
+import org.auburnlever.ledger.LedgerState
+import org.auburnlever.ledger.summary
+import org.auburnlever.peer.DomainCapacity
+import org.auburnlever.peer.GroupLeader
+import org.auburnlever.peer.GroupName
+import org.auburnlever.peer.PeerMessage
+import org.auburnlever.transport.Peer
+import org.auburnlever.transport.PeerTransport
+
+/** Tells all other hosts about this one. */
+internal class GossipSender(
+    private val transport: PeerTransport,
+    private val incarnation: Long,
+    private val groups: HostGroups,
+    private val cluster: ClusterView,
+    private val activeBundle: ActiveBundle,
+    private val routing: DomainRouting,
+) {
+    /** Sends one round; announcements of endpoints go to the entry hosts of the own failure domain only. */
+    fun send() {
+        noteOwnLeaders()
+        val general = gossip()
+        val own = general.copy(endpoints = routing.announcements())
+        transport.others.forEach { peer -> transport.send(peer.host, if (isNeighbour(peer)) own else general) }
+    }
+
+    /** Leaders and capacity as this host knows them, for its own status too. */
+    fun gossip() = PeerMessage.Gossip(
+        host = transport.self.host,
+        incarnation = incarnation,
+        bundleVersion = activeBundle.version,
+        bundleDigestHex = activeBundle.digestHex,
+        endpoints = emptyList(),
+        leaders = cluster.leaders(),
+        loads = routing.serviceLoads(),
+        capacity = capacity(),
+        incarnations = groups.runners.associate { it.group to it.view.replica.incarnation },
+    )
+
+    private fun noteOwnLeaders() {
+        groups.runners.forEach { runner ->
+            val view = runner.view
+            view.leader?.let { cluster.heard(runner.group, GroupLeader(view.term, it.host)) }
+        }
+    }
+
+    /** Capacity of this failure domain, if this host leads its ledger. */
+    private fun capacity(): DomainCapacity? {
+        val ledger = groups.ledgers[ownLedger()]?.runner?.view?.takeIf { it.isLeader } ?: return null
+        return capacity(ledger.state)
+    }
+
+    private fun capacity(state: LedgerState): DomainCapacity {
+        val summary = state.summary()
+        return DomainCapacity(summary.failureDomain.value, summary.acceleratorsTotal, summary.acceleratorsFree)
+    }
+
+    private fun ownLedger(): GroupName = ledgerGroup(transport.self.failureDomain)
+
+    private fun isNeighbour(peer: Peer): Boolean = peer.failureDomain == transport.self.failureDomain
+}
--- /dev/null
+++ b/node/src/main/kotlin/org/auburnlever/host/GroupInput.kt
@@ -0,0 +1,34 @@
+package org.auburnlever.host
+
+import kotlinx.coroutines.CompletableDeferred
+import org.auburnlever.codec.Bytes
+import org.auburnlever.consensus.MembershipChange
+import org.auburnlever.consensus.ReplicaInput
+
+/** What waits for the decision thread of a group. */
+internal sealed interface GroupInput<S, R> {
+    class Replica<S, R>(val input: ReplicaInput) : GroupInput<S, R>
+
+    class Propose<S, R>(val command: Bytes, val result: CompletableDeferred<Submission<R>>) : GroupInput<S, R>
+
+    class Read<S, R>(val result: CompletableDeferred<Submission<S>>) : GroupInput<S, R>
+
+    class Change<S, R>(
+        val change: MembershipChange,
+        val result: CompletableDeferred<Submission<Unit>>,
+    ) : GroupInput<S, R>
+
+    class Task<S, R>(val task: () -> Unit) : GroupInput<S, R>
+}
+
+/** Registers who waits for the result in [pending] and returns what the replica is given; a task runs at once. */
+internal fun <S, R> GroupInput<S, R>.toReplicaInput(pending: PendingSubmissions<S, R>): ReplicaInput? = when (this) {
+    is GroupInput.Replica -> input
+    is GroupInput.Propose -> ReplicaInput.Propose(pending.addProposal(result), command)
+    is GroupInput.Read -> ReplicaInput.Read(pending.addRead(result))
+    is GroupInput.Change -> ReplicaInput.ChangeMembership(pending.addChange(result), change)
+    is GroupInput.Task -> {
+        task()
+        null
+    }
+}
--- /dev/null
+++ b/node/src/main/kotlin/org/auburnlever/host/GroupRunner.kt
@@ -0,0 +1,131 @@
+package org.auburnlever.host
+
+import kotlinx.coroutines.CompletableDeferred
+import org.auburnlever.codec.Bytes
+import org.auburnlever.consensus.Membership
+import org.auburnlever.consensus.MembershipChange
+import org.auburnlever.consensus.ReplicaId
+import org.auburnlever.consensus.ReplicaInput
+import org.auburnlever.consensus.ReplicaMessage
+import org.auburnlever.peer.GroupName
+import org.auburnlever.storage.OpenedLog
+import java.util.concurrent.LinkedBlockingQueue
+import java.util.concurrent.TimeUnit
+import kotlin.concurrent.thread
+
+/** What a [GroupRunner] needs from its host. */
+internal interface GroupSurroundings {
+    /** Sends a replica message; it may be lost. */
+    fun send(group: GroupName, from: ReplicaId, to: ReplicaId, message: ReplicaMessage)
+
+    /** Stops the host: it can't keep its guarantees any more. */
+    fun fail(message: String, cause: Throwable? = null)
+}
+
+/**
+ * Runs one replicated group on this host.
+ *
+ * One decision thread owns the replica and the state, and takes its inputs in batches. Other threads read [view]
+ * without locks.
+ */
+internal class GroupRunner<S, R>(
+    val group: GroupName,
+    opened: OpenedLog,
+    initial: Membership,
+    machine: StateMachine<S, R>,
+    private val surroundings: GroupSurroundings,
+    private val clock: HostClock,
+) {
+    private val inbox = LinkedBlockingQueue<GroupInput<S, R>>()
+    private val driver = ReplicaDriver(group, opened, initial, machine, surroundings, clock.nowMillis())
+    private var lastTickMillis = 0L
+
+    @Volatile
+    private var running = true
+
+    /** Called on the decision thread after each batch; set before [start]. */
+    var afterBatch: (GroupView<S>) -> Unit = {}
+
+    /** The group after the last batch. */
+    @Volatile
+    var view: GroupView<S> = driver.view()
+        private set
+
+    private val decisionThread = thread(start = false, name = "group-$group", isDaemon = true) {
+        while (running) runBatch(nextBatch())
+    }
+
+    fun start() {
+        // Whatever went wrong, the state in memory may differ from the log, so the host must not go on.
+        decisionThread.setUncaughtExceptionHandler { _, fault -> surroundings.fail("group $group failed", fault) }
+        decisionThread.start()
+    }
+
+    /** Ends the decision thread and closes the files. */
+    fun stop() {
+        running = false
+        decisionThread.join(STOP_LIMIT_MILLIS)
+        driver.close()
+    }
+
+    /** Passes [input] to the replica. */
+    fun feed(input: ReplicaInput) {
+        inbox.add(GroupInput.Replica(input))
+    }
+
+    /** Proposes [command]; the result is complete when the command is applied or certainly has no effect. */
+    fun propose(command: Bytes): CompletableDeferred<Submission<R>> {
+        val result = CompletableDeferred<Submission<R>>()
+        inbox.add(GroupInput.Propose(command, result))
+        return result
+    }
+
+    /** Returns a state that holds every command that was applied anywhere before this call. */
+    suspend fun read(): Submission<S> {
+        val result = CompletableDeferred<Submission<S>>()
+        inbox.add(GroupInput.Read(result))
+        return result.await()
+    }
+
+    /** Changes the membership; returns once the change is committed or certainly has no effect. */
+    suspend fun change(change: MembershipChange): Submission<Unit> {
+        val result = CompletableDeferred<Submission<Unit>>()
+        inbox.add(GroupInput.Change(change, result))
+        return result.await()
+    }
+
+    /** Runs [task] on the decision thread, before the next batch. */
+    fun execute(task: () -> Unit) {
+        inbox.add(GroupInput.Task(task))
+    }
+
+    private fun nextBatch(): List<GroupInput<S, R>> {
+        val batch = ArrayList<GroupInput<S, R>>()
+        inbox.poll(TICK_MILLIS, TimeUnit.MILLISECONDS)?.let { batch += it }
+        inbox.drainTo(batch, MAX_BATCH)
+        return batch
+    }
+
+    private fun runBatch(batch: List<GroupInput<S, R>>) {
+        val nowMillis = clock.nowMillis()
+        val inputs = batch.mapNotNull { it.toReplicaInput(driver.pending) } + tickIfDue(nowMillis)
+        if (driver.run(inputs, nowMillis)) {
+            view = driver.view()
+            afterBatch(view)
+        } else {
+            running = false
+        }
+    }
+
+    private fun tickIfDue(nowMillis: Long): List<ReplicaInput> {
+        if (nowMillis - lastTickMillis < TICK_MILLIS) return emptyList()
+        lastTickMillis = nowMillis
+        return listOf(ReplicaInput.Tick)
+    }
+
+    private companion object {
+        const val TICK_MILLIS = 50L
+        const val MAX_BATCH = 512
+        const val STOP_LIMIT_MILLIS = 2_000L
+    }
+}
--- /dev/null
+++ b/node/src/main/kotlin/org/auburnlever/host/GroupView.kt
@@ -0,0 +1,22 @@
+package org.auburnlever.host
+
+import org.auburnlever.consensus.Membership
+import org.auburnlever.consensus.ReplicaActivity
+import org.auburnlever.consensus.ReplicaId
+import org.auburnlever.consensus.ReplicaRole
+
+/** A group as one replica sees it after a batch; immutable and published to all threads. */
+internal data class GroupView<S>(
+    val state: S,
+    val appliedIndex: Long,
+    val replica: ReplicaId,
+    val activity: ReplicaActivity,
+    val role: ReplicaRole?,
+    val leader: ReplicaId?,
+    val term: Long,
+    val commitIndex: Long,
+    val lastIndex: Long,
+    val membership: Membership,
+) {
+    val isLeader: Boolean get() = activity == ReplicaActivity.LEADER
+}
--- /dev/null
+++ b/node/src/main/kotlin/org/auburnlever/host/Host.kt
@@ -0,0 +1,136 @@
+package org.auburnlever.host
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.getError
+import com.linecorp.armeria.common.util.EventLoopGroups
+import io.github.oshai.kotlinlogging.KotlinLogging
+import io.micrometer.prometheusmetrics.PrometheusConfig
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
+import kotlinx.coroutines.CoroutineExceptionHandler
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.asCoroutineDispatcher
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.runBlocking
+import org.auburnlever.consensus.ReplicaId
+import org.auburnlever.consensus.ReplicaMessage
+import org.auburnlever.observe.ProcessMetrics
+import org.auburnlever.observe.Readiness
+import org.auburnlever.peer.GroupName
+import org.auburnlever.peer.PeerMessage
+import org.auburnlever.settings.Settings
+import org.auburnlever.transport.PeerTransport
+import org.auburnlever.transport.SharedKey
+import java.io.IOException
+import java.nio.file.Files
+import java.util.concurrent.CompletableFuture
+
+private val logger = KotlinLogging.logger {}
+
+/**
+ * One host of the system: its replicas, links, routing and HTTP services.
+ *
+ * ```
+ * val host = Host(settings, sharedKey)
+ * host.start()
+ * host.awaitEnd()
+ * ```
+ */
+class Host(private val settings: Settings, sharedKey: ByteArray) {
+    private val registry = PrometheusMeterRegistry(PrometheusConfig.DEFAULT)
+    private val clock = HostClock()
+    private val loops = EventLoopGroups.newEventLoopGroup(settings.limits.ioThreads, "http", true)
+    private val faults = CoroutineExceptionHandler { _, fault -> surroundings.fail("a task of the host failed", fault) }
+    private val scope = CoroutineScope(SupervisorJob() + loops.next().asCoroutineDispatcher() + faults)
+    private val end = CompletableFuture<Result<Unit, String>>()
+    private val surroundings = Surroundings()
+    private val peerCalls = PeerCalls()
+    private val transport = PeerTransport(
+        settings.self,
+        settings.others,
+        SharedKey(sharedKey),
+        peerCalls,
+        registry,
+    ) { surroundings.fail("the peer links failed", it) }
+    private val activeBundle = ActiveBundle(settings.dataFolder?.resolve("bundle.json"))
+    private val groups =
+        HostGroups(settings, surroundings, clock, activeBundle, LedgerMetrics(registry)::record)
+    private lateinit var parts: HostParts
+
+    @Volatile
+    private var draining = false
+
+    /** Opens the files, joins the other hosts and begins to serve. */
+    fun start(): Result<Unit, String> {
+        ProcessMetrics().bindTo(registry)
+        return try {
+            settings.dataFolder?.let { Files.createDirectories(it) }
+            val failure = groups.start().getError()
+            if (failure == null) startServing() else failed(failure)
+        } catch (e: IOException) {
+            failed("can't start: ${e.message}")
+        }
+    }
+
+    /** Waits until the host has shut down; the error says why it had to stop. */
+    fun awaitEnd(): Result<Unit, String> = end.get()
+
+    /**
+     * Refuses new work, lets requests in progress finish within the limit of the settings, and stops. Returns false,
+     * and does nothing, if the host has ended already.
+     */
+    fun shutdown(): Boolean {
+        if (end.isDone || draining) return false
+        draining = true
+        if (::parts.isInitialized) stopServing()
+        stopParts()
+        logger.info { "stopped" }
+        return end.complete(Ok(Unit))
+    }
+
+    private fun stopServing() {
+        logger.info { "shutting down; requests in progress may take ${settings.limits.shutdownLimitMillis} ms" }
+        val left = runBlocking { parts.requests.drain(settings.limits.shutdownLimitMillis) }
+        if (left > 0) logger.warn { "$left requests had not ended within the limit" }
+        groups.handLeadershipOver()
+        parts.server.stop().join()
+    }
+
+    private fun startServing(): Result<Unit, String> {
+        val base = HostBase(settings, registry, clock, loops, scope, transport, groups, activeBundle)
+        parts = HostParts(base, ::readiness)
+        peerCalls.open(parts.answering)
+        runBlocking { transport.start() }
+        parts.upkeep.start()
+        parts.server.start().join()
+        logger.info { "host ${settings.self.host} serves on ${settings.httpAddress}:${settings.httpPort}" }
+        return Ok(Unit)
+    }
+
+    private fun failed(message: String): Result<Unit, String> = Err(message).also { end.complete(it) }
+
+    private fun readiness(): Readiness = when {
+        draining -> Readiness.ShuttingDown
+        activeBundle.bundle == null -> Readiness.Starting("no bundle is in force yet")
+        else -> Readiness.Ready
+    }
+
+    private fun stopParts() {
+        scope.cancel()
+        groups.stop()
+        transport.close()
+        loops.shutdownGracefully()
+    }
+
+    private inner class Surroundings : GroupSurroundings {
+        override fun send(group: GroupName, from: ReplicaId, to: ReplicaId, message: ReplicaMessage) =
+            transport.send(to.host, PeerMessage.Consensus(group, from, to, message))
+
+        override fun fail(message: String, cause: Throwable?) {
+            logger.error(cause) { message }
+            end.complete(Err(message))
+        }
+    }
+}
--- /dev/null
+++ b/node/src/main/kotlin/org/auburnlever/host/HostGroups.kt
@@ -0,0 +1,115 @@
+package org.auburnlever.host
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.getError
+import com.github.michaelbull.result.mapError
+import com.github.michaelbull.result.onSuccess
+import kotlinx.serialization.json.JsonElement
+import kotlinx.serialization.json.buildJsonObject
+import org.auburnlever.consensus.Membership
+import org.auburnlever.consensus.ReplicaId
+import org.auburnlever.consensus.ReplicaInput
+import org.auburnlever.consensus.ReplicaRole
+import org.auburnlever.ledger.LedgerEvent
+import org.auburnlever.observe.Dumpable
+import org.auburnlever.peer.GroupName
+import org.auburnlever.settings.CONFIGURATION_GROUP
+import org.auburnlever.settings.GroupSettings
+import org.auburnlever.settings.LEDGER_GROUP_PREFIX
+import org.auburnlever.settings.Settings
+import org.auburnlever.storage.LogStore
+import org.auburnlever.storage.OpenedLog
+import org.auburnlever.world.DomainName
+import org.auburnlever.world.HostName
+import java.nio.file.Path
+
+/** Replicas of groups that the host [settings] describes keeps on its disk. */
+internal class HostGroups(
+    private val settings: Settings,
+    private val surroundings: GroupSurroundings,
+    private val clock: HostClock,
+    private val activeBundle: ActiveBundle,
+    private val onLedgerEvents: (List<LedgerEvent>) -> Unit,
+) : Dumpable {
+    /** The configuration group's replica, null if this host has none. */
+    var configuration: ConfigurationGroup? = null
+        private set
+
+    /** Replicas of ledgers by group. */
+    var ledgers: Map<GroupName, LedgerGroup> = emptyMap()
+        private set
+
+    /** All replicas of this host. */
+    val runners: List<GroupRunner<*, *>> get() = listOfNotNull(configuration?.runner) + ledgers.values.map { it.runner }
+
+    /** Opens the files of all replicas and starts them. */
+    fun start(): Result<Unit, String> {
+        val opened = settings.ownGroups().associateWith { open(it) }
+        val failure = opened.values.firstNotNullOfOrNull { it.getError() }
+        if (failure != null) return Err(failure)
+        opened.forEach { (group, log) -> log.onSuccess { create(group, it) } }
+        runners.forEach { it.start() }
+        return Ok(Unit)
+    }
+
+    /** Stops all replicas. */
+    fun stop() = runners.forEach { it.stop() }
+
+    /** Lets another voter lead each group that this host leads, so that the others need no election. */
+    fun handLeadershipOver() = runners.forEach { runner ->
+        val view = runner.view
+        val heir = view.membership.roles.entries.firstOrNull { (replica, role) ->
+            role == ReplicaRole.VOTER && replica != view.replica
+        }
+        if (view.isLeader && heir != null) runner.feed(ReplicaInput.TransferLeadership(heir.key))
+    }
+
+    override fun dump(): JsonElement = buildJsonObject {
+        runners.forEach { put(it.group.value, it.view.dump()) }
+    }
+
+    private fun open(group: GroupSettings): Result<OpenedLog, String> =
+        LogStore.open(settings.groupFolder(group.name), settings.self.host).mapError { it.message }
+
+    private fun create(group: GroupSettings, log: OpenedLog) {
+        if (group.name.value == CONFIGURATION_GROUP) {
+            val machine = ConfigurationMachine(settings.genesisOperators, settings.genesisThreshold)
+            val runner = GroupRunner(group.name, log, group.firstMembership(), machine, surroundings, clock)
+            configuration = ConfigurationGroup(runner, activeBundle, clock)
+        } else {
+            val domain = DomainName(group.name.value.removePrefix(LEDGER_GROUP_PREFIX))
+            val machine = LedgerMachine(domain, onLedgerEvents)
+            val runner = GroupRunner(group.name, log, group.firstMembership(), machine, surroundings, clock)
+            val inForce = { activeBundle.bundle }
+            ledgers = ledgers + (group.name to LedgerGroup(domain, runner, inForce, clock))
+        }
+    }
+}
+
+/** Creates the data folder for the first start of a host; a folder that already holds a replica is an error. */
+fun formatHost(settings: Settings): Result<Unit, String> {
+    val errors = settings.ownGroups().mapNotNull { group ->
+        LogStore.format(settings.groupFolder(group.name), settings.self.host).getError()?.message
+    }
+    return if (errors.isEmpty()) Ok(Unit) else Err(errors.joinToString("\n"))
+}
+
+/** Groups of which this host keeps a replica. */
+internal fun Settings.ownGroups(): List<GroupSettings> = groups.filter { self.host in it.replicas() }
+
+internal fun GroupSettings.replicas(): List<HostName> = voters + witnesses
+
+internal fun Settings.groupFolder(group: GroupName): Path =
+    checkNotNull(dataFolder) { "a host with replicas has a data folder" }
+        .resolve("groups")
+        .resolve(group.value.replace('/', '-'))
+
+/** The membership of a new group, in which each host holds its first incarnation. */
+private fun GroupSettings.firstMembership() = Membership(
+    voters.associate { ReplicaId(it, FIRST_INCARNATION) to ReplicaRole.VOTER } +
+        witnesses.associate { ReplicaId(it, FIRST_INCARNATION) to ReplicaRole.WITNESS },
+)
+
+private const val FIRST_INCARNATION = 1L
--- /dev/null
+++ b/node/src/main/kotlin/org/auburnlever/host/HostServer.kt
@@ -0,0 +1,26 @@
+package org.auburnlever.host
+
+import com.linecorp.armeria.common.util.BlockingTaskExecutor
+import com.linecorp.armeria.server.Server
+import io.netty.channel.EventLoopGroup
+import org.auburnlever.settings.Settings
+import java.net.InetSocketAddress
+
+/** Builds the HTTP server of a host on the event loops of [workers]. */
+internal fun buildServer(settings: Settings, services: HostServices, workers: EventLoopGroup): Server {
+    val builder = Server.builder()
+        .http(InetSocketAddress(settings.httpAddress, settings.httpPort))
+        .workerGroup(workers, false)
+        .blockingTaskExecutor(BlockingTaskExecutor.builder().numThreads(BLOCKING_THREADS).build(), true)
+        .maxNumConnections(settings.limits.maxHttpConnections)
+        .requestTimeoutMillis(settings.limits.maxRequestTimeoutMillis + REQUEST_GRACE_MILLIS)
+        .http2InitialConnectionWindowSize(HTTP2_WINDOW_BYTES)
+    services.routes().forEach { (route, service) -> builder.service(route, service) }
+    return builder.build()
+}
+
+private const val BLOCKING_THREADS = 2
+private const val HTTP2_WINDOW_BYTES = 262_144
+
+/** A request ends by its own timeout; the server's is only the last resort. */
+private const val REQUEST_GRACE_MILLIS = 5_000L
--- /dev/null
+++ b/node/src/main/kotlin/org/auburnlever/host/HostUpkeep.kt
@@ -0,0 +1,83 @@
+package org.auburnlever.host
+
+import com.github.michaelbull.result.onSuccess
+import io.github.oshai.kotlinlogging.KotlinLogging
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.isActive
+import kotlinx.coroutines.launch
+import org.auburnlever.consensus.ReplicaId
+import org.auburnlever.peer.GroupName
+import org.auburnlever.peer.PeerReply
+import org.auburnlever.peer.PeerRequest
+import org.auburnlever.settings.GroupSettings
+import org.auburnlever.transport.PeerTransport
+import org.auburnlever.world.HostName
+import java.util.concurrent.atomic.AtomicBoolean
+
+private val logger = KotlinLogging.logger {}
+
+/** Repeated duties of a host: gossip, fetching newer bundles, and asking for admission after a lost disk. */
+internal class HostUpkeep(
+    private val scope: CoroutineScope,
+    private val transport: PeerTransport,
+    private val gossip: GossipSender,
+    private val groups: HostGroups,
+    private val groupSettings: List<GroupSettings>,
+    private val activeBundle: ActiveBundle,
+) {
+    private val fetching = AtomicBoolean()
+
+    fun start() {
+        scope.launch {
+            while (scope.isActive) {
+                gossip.send()
+                delay(GOSSIP_MILLIS)
+            }
+        }
+        scope.launch {
+            while (scope.isActive) {
+                delay(ADMISSION_MILLIS)
+                askForAdmission()
+            }
+        }
+    }
+
+    /** Fetches the bundle in force at [host], unless another fetch is on its way. */
+    fun fetchBundle(host: HostName) {
+        if (!fetching.compareAndSet(false, true)) return
+        scope.launch {
+            try {
+                transport.call(host, PeerRequest.FetchBundle, FETCH_MILLIS).onSuccess { reply ->
+                    (reply as? PeerReply.InForce)?.bundle?.let { activeBundle.activate(it) }
+                }
+            } finally {
+                fetching.set(false)
+            }
+        }
+    }
+
+    /** A replica that is no member lost its disk; each host of its group is asked, and the leader admits it. */
+    private suspend fun askForAdmission() {
+        groups.runners.filter { it.view.role == null }.forEach { runner ->
+            val replica = runner.view.replica
+            logger.info { "replica $replica asks for admission to ${runner.group}" }
+            others(runner.group).forEach { host -> askForAdmission(host, runner.group, replica) }
+        }
+    }
+
+    private suspend fun askForAdmission(host: HostName, group: GroupName, replica: ReplicaId) {
+        transport.call(host, PeerRequest.Admit(group, replica), ADMISSION_MILLIS).onSuccess { reply ->
+            if (reply is PeerReply.Ok) logger.info { "replica $replica was admitted to $group" }
+        }
+    }
+
+    private fun others(group: GroupName): List<HostName> =
+        groupSettings.first { it.name == group }.replicas().filter { it != transport.self.host }
+
+    private companion object {
+        const val GOSSIP_MILLIS = 500L
+        const val ADMISSION_MILLIS = 1_000L
+        const val FETCH_MILLIS = 2_000L
+    }
+}
--- /dev/null
+++ b/node/src/main/kotlin/org/auburnlever/host/LedgerGroup.kt
@@ -0,0 +1,121 @@
+package org.auburnlever.host
+
+import kotlinx.coroutines.CompletableDeferred
+import org.auburnlever.codec.Codec
+import org.auburnlever.configuration.Bundle
+import org.auburnlever.ledger.LeaderState
+import org.auburnlever.ledger.LedgerCommand
+import org.auburnlever.ledger.LedgerReply
+import org.auburnlever.ledger.LedgerState
+import org.auburnlever.ledger.StampedCommand
+import org.auburnlever.ledger.heartbeat
+import org.auburnlever.ledger.tick
+import org.auburnlever.peer.LedgerQuery
+import org.auburnlever.wire.HeartbeatReply
+import org.auburnlever.wire.WorkerHeartbeat
+import org.auburnlever.world.DomainName
+
+/**
+ * The ledger of one failure domain on this host: its replica and, while that leads, the soft state of the leader.
+ *
+ * The soft state lives on the decision thread of [runner]. It is discarded when leadership is lost.
+ */
+internal class LedgerGroup(
+    val domain: DomainName,
+    val runner: GroupRunner<LedgerState, LedgerReply>,
+    private val inForce: () -> Bundle?,
+    private val clock: HostClock,
+) {
+    private val held = HeldHeartbeats()
+    private var leader: LeaderState? = null
+    private var leaderTerm = NO_TERM
+    private var readyIndex = 0L
+    private var lastTickMillis = 0L
+    private var seenIndex = -1L
+    private var inFlight = emptyList<CompletableDeferred<*>>()
+
+    init {
+        runner.afterBatch = { afterBatch(it) }
+    }
+
+    /** Submits [command] at this replica. */
+    suspend fun submit(command: LedgerCommand): Submission<LedgerReply> = runner.propose(stamp(command)).await()
+
+    /** Answers [query] as JSON from a state that is not older than this call. */
+    suspend fun read(query: LedgerQuery): Submission<String> = when (val result = runner.read()) {
+        is Submission.Applied -> Submission.Applied(result.reply.answer(query))
+        is Submission.NotLeader -> result
+        is Submission.Refused -> result
+        is Submission.Undecided -> result
+    }
+
+    /** Takes a worker's heartbeat and answers once there are orders, at the latest after 1 s; null if not leading. */
+    suspend fun heartbeat(heartbeat: WorkerHeartbeat): HeartbeatReply? {
+        val reply = CompletableDeferred<HeartbeatReply?>()
+        runner.execute { take(heartbeat, reply) }
+        return reply.await()
+    }
+
+    private fun take(heartbeat: WorkerHeartbeat, reply: CompletableDeferred<HeartbeatReply?>) {
+        val soft = leader
+        if (soft == null) {
+            reply.complete(null)
+            return
+        }
+        val nowMillis = clock.nowMillis()
+        val step = heartbeat(runner.view.state, soft, heartbeat, nowMillis)
+        leader = step.leader
+        step.commands.forEach { runner.propose(stamp(it)) }
+        held.add(heartbeat, nowMillis, reply)
+        // Orders that already wait are found after this batch, although no entry is applied by it.
+        seenIndex = -1
+    }
+
+    private fun afterBatch(view: GroupView<LedgerState>) {
+        val nowMillis = clock.nowMillis()
+        followLeadership(view, nowMillis)
+        val soft = leader ?: return
+        if (view.appliedIndex != seenIndex || held.anyDue(nowMillis)) held.answer(view.state, nowMillis)
+        val due = view.appliedIndex != seenIndex || nowMillis - lastTickMillis >= TICK_MILLIS
+        seenIndex = view.appliedIndex
+        if (due) runTick(view, soft, nowMillis)
+    }
+
+    private fun followLeadership(view: GroupView<LedgerState>, nowMillis: Long) {
+        if (!view.isLeader) {
+            stopLeading()
+            return
+        }
+        if (leaderTerm != view.term) {
+            stopLeading()
+            leaderTerm = view.term
+            readyIndex = view.lastIndex
+        }
+        // Entries of earlier terms must be applied before this replica may decide anything on its state.
+        if (leader == null && view.appliedIndex >= readyIndex) leader = LeaderState(nowMillis)
+    }
+
+    private fun stopLeading() {
+        leader = null
+        leaderTerm = NO_TERM
+        inFlight = emptyList()
+        held.refuseAll()
+    }
+
+    /** Plans again only after the earlier decisions are applied, so that none is proposed twice. */
+    private fun runTick(view: GroupView<LedgerState>, soft: LeaderState, nowMillis: Long) {
+        inFlight = inFlight.filter { it.isActive }
+        if (inFlight.isNotEmpty()) return
+        lastTickMillis = nowMillis
+        val step = tick(view.state, soft, inForce(), domain, nowMillis)
+        leader = step.leader
+        inFlight = step.commands.map { runner.propose(stamp(it)) }
+    }
+
+    private fun stamp(command: LedgerCommand) = Codec.encode(StampedCommand(clock.nowMillis(), command))
+
+    private companion object {
+        const val TICK_MILLIS = 100L
+        const val NO_TERM = -1L
+    }
+}
--- /dev/null
+++ b/node/src/main/kotlin/org/auburnlever/host/ReplicaDriver.kt
@@ -0,0 +1,122 @@
+package org.auburnlever.host
+
+import com.github.michaelbull.result.onFailure
+import io.github.oshai.kotlinlogging.KotlinLogging
+import org.auburnlever.consensus.EntryPayload
+import org.auburnlever.consensus.LogEntry
+import org.auburnlever.consensus.Membership
+import org.auburnlever.consensus.ReplicaEffect
+import org.auburnlever.consensus.ReplicaInput
+import org.auburnlever.consensus.ReplicaSettings
+import org.auburnlever.consensus.ReplicaState
+import org.auburnlever.consensus.ReplicaStep
+import org.auburnlever.consensus.activity
+import org.auburnlever.consensus.lastIndex
+import org.auburnlever.consensus.leader
+import org.auburnlever.consensus.membership
+import org.auburnlever.consensus.role
+import org.auburnlever.consensus.snapshotDue
+import org.auburnlever.consensus.startReplica
+import org.auburnlever.consensus.stepAll
+import org.auburnlever.peer.GroupName
+import org.auburnlever.storage.OpenedLog
+
+private val logger = KotlinLogging.logger {}
+
+/** Steps one replica, stores what it must keep and applies its log to [machine]; used by one thread at a time. */
+internal class ReplicaDriver<S, R>(
+    private val group: GroupName,
+    private val opened: OpenedLog,
+    initial: Membership,
+    private val machine: StateMachine<S, R>,
+    private val surroundings: GroupSurroundings,
+    nowMillis: Long,
+) {
+    val pending = PendingSubmissions<S, R>()
+    private var state = machine.initial
+    private var appliedIndex = 0L
+    private var replica: ReplicaState
+
+    init {
+        val settings = ReplicaSettings(seed = opened.replica.hashCode().toLong() * group.value.hashCode())
+        val first = startReplica(opened.replica, opened.recovered, initial, settings, nowMillis)
+        replica = first.state
+        first.effects.filterIsInstance<ReplicaEffect.Restore>().forEach { restore(it) }
+    }
+
+    /** Handles [inputs] as one batch and snapshots the state when that is due; false if the log can't be stored. */
+    fun run(inputs: List<ReplicaInput>, nowMillis: Long): Boolean {
+        val stored = inputs.isEmpty() || carryOut(replica.stepAll(inputs, nowMillis))
+        if (!stored || !replica.snapshotDue) return stored
+        val taken = ReplicaInput.SnapshotTaken(appliedIndex, machine.encode(state))
+        return carryOut(replica.stepAll(listOf(taken), nowMillis))
+    }
+
+    /** The group as this replica sees it now. */
+    fun view() = GroupView(
+        state = state,
+        appliedIndex = appliedIndex,
+        replica = replica.id,
+        activity = replica.activity,
+        role = replica.role,
+        leader = replica.leader,
+        term = replica.term,
+        commitIndex = replica.commitIndex,
+        lastIndex = replica.lastIndex,
+        membership = replica.membership,
+    )
+
+    fun close() = opened.store.close()
+
+    private fun carryOut(step: ReplicaStep): Boolean {
+        replica = step.state
+        val stored = store(step)
+        if (stored) {
+            step.effects.forEach { carryOut(it) }
+            pending.serveReads(state, appliedIndex)
+        }
+        return stored
+    }
+
+    /** One sync covers the writes of a whole batch; nothing else of the batch is released before. */
+    private fun store(step: ReplicaStep): Boolean {
+        val writes = step.effects.filterIsInstance<ReplicaEffect.Persist>().map { it.write }
+        if (writes.isEmpty()) return true
+        return opened.store.write(writes)
+            .onFailure { surroundings.fail("group $group can't store its log: ${it.message}") }
+            .isOk
+    }
+
+    private fun carryOut(effect: ReplicaEffect) {
+        when (effect) {
+            is ReplicaEffect.Persist -> Unit
+            is ReplicaEffect.Send -> surroundings.send(group, replica.id, effect.to, effect.message)
+            is ReplicaEffect.Apply -> effect.entries.forEach { apply(it) }
+            is ReplicaEffect.Restore -> restore(effect)
+            is ReplicaEffect.Accepted -> pending.accepted(effect)
+            is ReplicaEffect.Rejected -> pending.rejected(effect)
+            is ReplicaEffect.ReadConfirmed -> pending.confirmed(effect)
+            is ReplicaEffect.LeaderChanged ->
+                logger.info { "group $group: leader ${effect.leader ?: "unknown"} in term ${effect.term}" }
+        }
+    }
+
+    private fun apply(entry: LogEntry) {
+        val payload = entry.payload
+        val reply = if (payload is EntryPayload.Command) {
+            val applied = machine.apply(state, entry.index, payload.command)
+            state = applied.state
+            applied.reply
+        } else {
+            null
+        }
+        appliedIndex = entry.index
+        pending.applied(entry, reply)
+    }
+
+    private fun restore(effect: ReplicaEffect.Restore) {
+        state = machine.decode(effect.snapshot.state)
+        appliedIndex = effect.snapshot.lastIndex
+        pending.restored(appliedIndex)
+    }
+}
