--- a/node/src/test/kotlin/org/auburnlever/storage/LogStoreTest.kt
+++ b/node/src/test/kotlin/org/auburnlever/storage/LogStoreTest.kt
@@ -72,7 +72,7 @@
     fun `a snapshot without its segment is combined with the older segment`() {
         format()
         opened { it.store.write(listOf(vote, append(1..9))) }
-        SystemDisk.createWhole(LogFiles(folder).snapshot(5).file, encodeRecord(snapshot(5)))
+        SystemDisk.writeSnapshot(LogFiles(folder).snapshot(5), snapshot(5))
         repeat(2) { assertEquals(RecoveredLog(3, replica, snapshot(5), (6L..9L).map { entry(it) }), recovered()) }
         assertTrue(files("log-").single().name.contains("5-"))
     }
@@ -111,6 +111,38 @@
         }
     }
 
+    /** Guards against a torn record that is accepted although later segments show that it was complete once. */
+    @Test
+    fun `a long log continues in a second segment, and the first must be whole`() {
+        format()
+        val large = EntryPayload.Command(Bytes(ByteArray(1_024 * 1_024)))
+        val writes = (1L..9).map { DurableWrite.Append(listOf(LogEntry(it, 1, large))) }
+        opened { opened -> writes.forEach { opened.store.write(listOf(it)) } }
+        val (first, second) = files("log-").sorted()
+        assertEquals((1L..9).toList(), recovered().entries.map { it.index })
+        Files.write(first, Files.readAllBytes(first).let { it.copyOf(it.size - 1) })
+        assertEquals(first, assertIs<StorageError.Corrupt>(open().getError()).file)
+        Files.delete(first)
+        assertEquals(first, assertIs<StorageError.Corrupt>(open().getError()).file)
+        assertTrue(Files.exists(second))
+    }
+
+    /** Guards against a state machine or an identity that starts from damaged bytes. */
+    @Test
+    fun `a damaged snapshot or identity stops the start`() {
+        format()
+        opened { it.store.write(listOf(append(1..9), DurableWrite.Install(snapshot(5)))) }
+        for (file in listOf("snapshot-", "identity").map { files(it).single() }) {
+            val intact = Files.readAllBytes(file)
+            for (position in intact.indices) {
+                Files.write(file, intact.copyOf().also { it[position] = (it[position] + 1).toByte() })
+                assertEquals(file, assertIs<StorageError.Corrupt>(open().getError(), "byte $position").file)
+            }
+            Files.write(file, intact)
+        }
+        assertEquals(snapshot(5), recovered().snapshot)
+    }
+
     /** Guards against a removed file that looks like an empty log, which would return a vote already given. */
     @Test
     fun `missing files stop the start`() {
