Let a ledger's leader know its own capacity, and steady the relay of tests

Cause: the demo waited 20 s in vain for a leader to report its own failure domain's accelerators, because a host took capacities only from the gossip of others. A link test failed twice: the relay's accept loop ended when its target did not listen yet.

Change: a host takes in its own gossip; capacities count only from the known leader. A refused connection of the relay ends alone.

Ruled out: a slow redial; the trace showed that the relay accepted nothing more.

--- a/node/src/main/kotlin/org/auburnlever/host/ClusterView.kt
+++ b/node/src/main/kotlin/org/auburnlever/host/ClusterView.kt
@@ -45,7 +45,11 @@
         newest.forEach { (host, gossip) -> put("bundle version of $host", gossip.bundleVersion) }
     }
 
-    /** Accelerators of each failure domain, as its ledger's leader reported them. */
+    /** Accelerators of each failure domain, as the leader of its ledger reported them last. */
     fun capacities(): Map<DomainName, DomainCapacity> =
-        newest.values.mapNotNull { it.capacity }.associateBy { DomainName(it.domain) }
+        newest.values.mapNotNull { gossip -> gossip.capacity?.takeIf { isLeader(gossip.host, it) } }
+            .associateBy { DomainName(it.domain) }
+
+    private fun isLeader(host: HostName, capacity: DomainCapacity): Boolean =
+        known[ledgerGroup(DomainName(capacity.domain))]?.leader == host
 }
--- a/node/src/main/kotlin/org/auburnlever/host/GossipSender.kt
+++ b/node/src/main/kotlin/org/auburnlever/host/GossipSender.kt
@@ -23,12 +23,12 @@
     fun send() {
         noteOwnLeaders()
         val general = gossip()
+        cluster.heard(general)
         val own = general.copy(endpoints = routing.announcements())
         transport.others.forEach { peer -> transport.send(peer.host, if (isNeighbour(peer)) own else general) }
     }
 
-    /** Leaders and capacity as this host knows them, for its own status too. */
-    fun gossip() = PeerMessage.Gossip(
+    private fun gossip() = PeerMessage.Gossip(
         host = transport.self.host,
         incarnation = incarnation,
         bundleVersion = activeBundle.version,
--- a/node/src/main/kotlin/org/auburnlever/host/PendingSubmissions.kt
+++ b/node/src/main/kotlin/org/auburnlever/host/PendingSubmissions.kt
@@ -91,5 +91,6 @@
     RejectionReason.CHANGE_PENDING -> Submission.Refused("another change of the membership is pending")
     RejectionReason.NOT_CAUGHT_UP -> Submission.Refused("the replica has not caught up yet")
     RejectionReason.UNKNOWN_REPLICA -> Submission.Refused("the replica is not a member")
+    RejectionReason.OLD_INCARNATION_ACTIVE -> Submission.Refused("the replica's old incarnation still answers")
     RejectionReason.WOULD_LOSE_QUORUM -> Submission.Refused("the change would lose the quorum")
 }
--- a/node/src/test/kotlin/org/auburnlever/transport/FreezableRelay.kt
+++ b/node/src/test/kotlin/org/auburnlever/transport/FreezableRelay.kt
@@ -19,7 +19,7 @@
     val port: Int get() = listener.localPort
 
     init {
-        thread(isDaemon = true) { ignoringClose { while (true) accept(listener.accept()) } }
+        thread(isDaemon = true) { ignoringClose { while (true) connect(listener.accept()) } }
     }
 
     fun freeze() = frozen.addAll(sockets)
@@ -29,7 +29,10 @@
         sockets.forEach { it.close() }
     }
 
-    private fun accept(client: Socket) {
+    /** A target that does not listen yet refuses one connection; the relay goes on with later ones. */
+    private fun connect(client: Socket) = ignoringClose { forward(client) }
+
+    private fun forward(client: Socket) {
         val target = Socket(InetAddress.getLoopbackAddress(), targetPort)
         sockets += listOf(client, target)
         thread(isDaemon = true) { ignoringClose { copy(client, target) } }
@@ -50,7 +53,8 @@
         try {
             block()
         } catch (_: IOException) {
-            close()
+            // A connection that was reset ends alone; the relay goes on with the others.
+            return
         }
     }
 
