Test the store with a failure of each operation

Change: a disk that fails after n operations, for each n, must leave files that open and hold every finished write. Confirmed reads are removed in one pass.

--- a/core/src/main/kotlin/org/auburnlever/consensus/Reads.kt
+++ b/core/src/main/kotlin/org/auburnlever/consensus/Reads.kt
@@ -25,13 +25,13 @@
     val leader = leading ?: return
     val confirmed = state.membership.reachedByQuorum { leader.roundOf(it, state.id) } ?: 0
     // Before its first own entry is committed, a leader does not know which earlier entries are.
-    val knowsCommitted = state.commitIndex >= leader.firstIndex
-    val servable = leader.reads.filter { knowsCommitted && it.round <= confirmed }
-    servable.forEach { emit(ReplicaEffect.ReadConfirmed(it.readId, state.commitIndex)) }
-    updateLeading {
-        it.copy(
-            roundConfirmed = maxOf(it.roundConfirmed, confirmed),
-            reads = if (servable.isEmpty()) it.reads else it.reads.removeAll(servable),
+    val servedRound = if (state.commitIndex >= leader.firstIndex) confirmed else 0
+    leader.reads.filter { it.round <= servedRound }
+        .forEach { emit(ReplicaEffect.ReadConfirmed(it.readId, state.commitIndex)) }
+    updateLeading { current ->
+        current.copy(
+            roundConfirmed = maxOf(current.roundConfirmed, confirmed),
+            reads = current.reads.removeAll { it.round <= servedRound },
         )
     }
 }
--- a/node/src/test/kotlin/org/auburnlever/storage/LogStoreTest.kt
+++ b/node/src/test/kotlin/org/auburnlever/storage/LogStoreTest.kt
@@ -196,6 +196,31 @@
         }
     }
 
+    /** Guards against a failure between two steps of a write that leaves files which no start accepts. */
+    @Test
+    fun `after a failure of any operation the store holds all finished writes`() {
+        val batches = listOf(
+            listOf(vote, append(1..4)),
+            listOf(append(5..8), DurableWrite.Install(snapshot(6)), append(9..9)),
+            listOf(DurableWrite.Install(snapshot(9)), append(10..11)),
+        )
+        val lastIndices = listOf(0, 4, 9, 11)
+        for (allowed in 0..20) {
+            val part = folder.resolve("$allowed")
+            LogStore.format(part, host)
+            val disk = FailingDisk(failAppends = true, "Input/output error").also { it.failAfter(allowed) }
+            val written = LogStore.open(part, host, disk).getOrElse { error(it.message) }.store.use { store ->
+                batches.takeWhile { store.write(it) == Ok(Unit) }.size
+            }
+            val reopened = LogStore.open(part, host).getOrElse { error(it.message) }
+            reopened.store.close()
+            val recovered = reopened.recovered
+            val last = recovered.entries.lastOrNull()?.index ?: recovered.snapshot?.lastIndex ?: 0
+            assertTrue(last >= lastIndices[written], "entry $last after $written batches, $allowed operations")
+            assertEquals(if (written > 0) vote.term else recovered.term, recovered.term)
+        }
+    }
+
     private fun format() = assertEquals(Ok(replica), LogStore.format(folder, host))
 
     private fun open() = LogStore.open(folder, host)
@@ -217,9 +242,14 @@
         Snapshot(lastIndex, 1, Membership(mapOf(replica to ReplicaRole.VOTER)), Bytes.of("state at $lastIndex"))
 }
 
-/** Fails to append or to sync while [failing]. */
+/** Fails to append or to sync while [failing], or once it has done a number of operations. */
 private class FailingDisk(private val failAppends: Boolean, private val message: String) : Disk {
     var failing = false
+    private var remaining = Int.MAX_VALUE
+
+    fun failAfter(operations: Int) {
+        remaining = operations
+    }
 
     override fun open(file: Path): AppendFile {
         val delegate = SystemDisk.open(file)
@@ -231,7 +261,7 @@
     }
 
     private fun failIf(affected: Boolean, action: () -> Unit) {
-        if (failing && affected) throw IOException(message)
+        if (failing && affected || remaining-- <= 0) throw IOException(message)
         action()
     }
 }
