Bound payloads and error texts and shorten plans at 550 workers

Cause: payloads of waiting jobs could fill the process limit of 128 MB, and a plan at 550 workers took over 10 ms. On a scratch copy, the check that a claim leaves the places of other guarantees alone could be switched off without a failing test.

Change: the ledger holds at most 8 MiB of payloads and drops a payload when its job ends; error texts are cut to 500 characters. A reservation for accelerators looks first at the ends of jobs that hold accelerators.

Ruled out: caching the reservation between plans, since the bound at the tail would stay.

--- a/core/src/main/kotlin/org/auburnlever/ledger/ApplyJobs.kt
+++ b/core/src/main/kotlin/org/auburnlever/ledger/ApplyJobs.kt
@@ -11,6 +11,9 @@
 private const val MAX_TASKS = 1_024
 private const val MAX_PAYLOAD_CHARS = 65_536
 
+/** Bounds the state, since payloads are kept until their jobs end. */
+private const val MAX_PAYLOADS_CHARS = 8L * 1024 * 1024
+
 /** Bounds the state; the queue of the target deployment holds a few hundred jobs. */
 private const val MAX_WAITING_JOBS = 20_000
 
@@ -49,6 +52,10 @@
         job(command.jobId) != null -> refused(ErrorCode.BAD_REQUEST, "job id ${command.jobId} is in use")
         state.jobs.queued.size >= MAX_WAITING_JOBS ->
             refused(ErrorCode.OVERLOADED, "$MAX_WAITING_JOBS jobs wait already")
+        spec.payload.length > MAX_PAYLOAD_CHARS ->
+            refused(ErrorCode.TOO_LARGE, "the payload is limited to $MAX_PAYLOAD_CHARS characters")
+        state.jobs.payloadChars + spec.payload.length > MAX_PAYLOADS_CHARS ->
+            refused(ErrorCode.OVERLOADED, "the payloads of waiting and running jobs fill the ledger")
         invalidField(spec) != null -> refused(ErrorCode.BAD_REQUEST, "invalid ${invalidField(spec)}")
         spec.failureDomain != null && spec.failureDomain != state.domain ->
             refused(ErrorCode.BAD_REQUEST, "the job is pinned to ${spec.failureDomain}, this is ${state.domain}")
@@ -60,7 +67,6 @@
 
 private fun invalidField(spec: JobSpec): String? = when {
     spec.estimatedSeconds < 0 -> "estimatedSeconds"
-    spec.payload.length > MAX_PAYLOAD_CHARS -> "payload"
     else -> invalidField(spec.shape)
 }
 
@@ -94,7 +100,8 @@
         submittedMillis = nowMillis,
     )
     val keys = state.jobs.keys.put(command.key, JobKeyRecord(command.jobId, command.bodySha256Hex))
-    state = state.copy(jobs = state.jobs.copy(keys = keys))
+    val payloadChars = state.jobs.payloadChars + job.spec.payload.length
+    state = state.copy(jobs = state.jobs.copy(keys = keys, payloadChars = payloadChars))
     retainKey(command.key)
     val queued = moveJob(job, JobPhase.QUEUED, DecisionKind.QUEUED, "submitted")
     return LedgerReply.Job(state.view(queued))
--- a/core/src/main/kotlin/org/auburnlever/ledger/ApplyReports.kt
+++ b/core/src/main/kotlin/org/auburnlever/ledger/ApplyReports.kt
@@ -5,6 +5,9 @@
 import org.auburnlever.wire.TaskStatus
 import org.auburnlever.world.WorkerName
 
+/** An error text goes into the journal, which is bounded by the number of its entries. */
+private const val MAX_ERROR_CHARS = 500
+
 internal fun Transition.tasksReported(command: LedgerCommand.TasksReported): LedgerReply {
     val worker = worker(command.worker)
     if (worker != null && !worker.lost && worker.epochMillis == command.epochMillis) {
@@ -18,7 +21,7 @@
     val task = state.expected(worker, report)
     val reached = report.status.toTaskState()
     if (task != null && !task.state.isFinal && reached > task.state) {
-        val error = report.error ?: "no error text".takeIf { reached == TaskState.FAILED }
+        val error = report.error?.take(MAX_ERROR_CHARS) ?: "no error text".takeIf { reached == TaskState.FAILED }
         setTask(report.jobId, report.taskIndex, task.copy(state = reached, result = report.result, error = error))
         if (reached == TaskState.FAILED) blameForStart(report, checkNotNull(error))
         if (reached == TaskState.COMPLETED) praiseWorker(worker)
--- a/core/src/main/kotlin/org/auburnlever/ledger/ApplyWorkers.kt
+++ b/core/src/main/kotlin/org/auburnlever/ledger/ApplyWorkers.kt
@@ -2,6 +2,7 @@
 
 import org.auburnlever.wire.ErrorCode
 import org.auburnlever.wire.WorkerHeartbeat
+import org.auburnlever.world.DomainName
 
 /** Lost workers are remembered this long: they usually return, and jobs that fit only them are not refused. */
 private const val LOST_WORKER_RETENTION_MILLIS = 24 * 3_600_000L
@@ -10,9 +11,8 @@
 internal fun Transition.workerSeen(heartbeat: WorkerHeartbeat): LedgerReply {
     val known = worker(heartbeat.worker)
     return when {
-        !heartbeat.isValid() -> refused(ErrorCode.BAD_REQUEST, "worker ${heartbeat.worker} announced invalid sizes")
-        heartbeat.failureDomain != state.domain ->
-            refused(ErrorCode.BAD_REQUEST, "worker ${heartbeat.worker} belongs to ${heartbeat.failureDomain}")
+        !heartbeat.isValidIn(state.domain) ->
+            refused(ErrorCode.BAD_REQUEST, "worker ${heartbeat.worker} announced invalid sizes or another domain")
         known == null && !hasRoom() -> refused(ErrorCode.OVERLOADED, "the ledger holds $MAX_WORKERS workers")
         known == null -> workerJoined(heartbeat, null)
         known.lost -> workerJoined(heartbeat, known)
@@ -22,8 +22,9 @@
     }
 }
 
-private fun WorkerHeartbeat.isValid(): Boolean =
-    acceleratorCount in 0..Long.SIZE_BITS && cores >= 0 && memoryMiB >= 0
+/** True when the announcement can be taken into the ledger of [domain]. */
+internal fun WorkerHeartbeat.isValidIn(domain: DomainName): Boolean =
+    failureDomain == domain && acceleratorCount in 0..Long.SIZE_BITS && cores >= 0 && memoryMiB >= 0
 
 /** A worker that announces fewer accelerators can't hold its tasks any more. */
 private fun WorkerHeartbeat.shrinks(known: WorkerRecord): Boolean = acceleratorCount < known.acceleratorCount
--- a/core/src/main/kotlin/org/auburnlever/ledger/GangEnds.kt
+++ b/core/src/main/kotlin/org/auburnlever/ledger/GangEnds.kt
@@ -88,6 +88,7 @@
 internal fun Transition.endJob(job: JobRecord, outcome: Outcome, reason: String) {
     val waited = if (job.phase == JobPhase.QUEUED) nowMillis - job.queuedMillis else 0
     val ended = job.copy(
+        spec = job.spec.copy(payload = ""),
         outcome = outcome,
         ranMillis = job.ranMillis + job.currentRunMillis(nowMillis),
         waitedMillis = job.waitedMillis + waited,
@@ -96,7 +97,13 @@
     )
     releaseGuarantee(job)
     moveJob(ended, JobPhase.DONE, DecisionKind.DONE, reason)
-    state = state.copy(jobs = state.jobs.copy(resultBytes = state.jobs.resultBytes + ended.resultBytes()))
+    val jobs = state.jobs
+    state = state.copy(
+        jobs = jobs.copy(
+            resultBytes = jobs.resultBytes + ended.resultBytes(),
+            payloadChars = jobs.payloadChars - job.spec.payload.length,
+        ),
+    )
     events += LedgerEvent.JobEnded(job.jobId, job.account, outcome)
 }
 
--- a/core/src/main/kotlin/org/auburnlever/ledger/Invariants.kt
+++ b/core/src/main/kotlin/org/auburnlever/ledger/Invariants.kt
@@ -74,9 +74,13 @@
             (job.phase == JobPhase.DONE) != (job.jobId in jobs.done)
     }
     val incomplete = jobs.all.values.filter { (it.phase == JobPhase.DONE) != (it.outcome != null) }
+    val payloads = jobs.all.values.sumOf { it.spec.payload.length.toLong() }
     return misplaced.map { violation("a job is in the index of its phase", it.jobId) } +
         incomplete.map { violation("exactly the done jobs have an outcome", it.jobId) } +
-        listOfNotNull(violation("indexes cover all jobs", "$counted").takeIf { counted != jobs.all.size })
+        listOfNotNull(
+            violation("indexes cover all jobs", "$counted").takeIf { counted != jobs.all.size },
+            violation("payloads add up", "$payloads").takeIf { payloads != jobs.payloadChars },
+        )
 }
 
 private fun LedgerState.checkAccounts(): List<InvariantViolation> {
--- a/core/src/main/kotlin/org/auburnlever/ledger/Leader.kt
+++ b/core/src/main/kotlin/org/auburnlever/ledger/Leader.kt
@@ -21,12 +21,12 @@
  * Takes a worker's heartbeat.
  *
  * Proposes `WorkerSeen` when the announcement differs from the ledger and `TasksReported` for statuses that the ledger
- * does not know yet. A heartbeat that is older than one already taken has no effect.
+ * does not know yet. A heartbeat that is older than one already taken, or that the ledger would refuse, has no effect.
  */
 fun heartbeat(ledger: LedgerState, leader: LeaderState, heartbeat: WorkerHeartbeat, nowMillis: Long): LeaderStep {
     val known = ledger.workers[heartbeat.worker]
     val seen = leader.workers[heartbeat.worker]
-    return if (isStale(heartbeat, known, seen)) {
+    return if (!heartbeat.isValidIn(ledger.domain) || isStale(heartbeat, known, seen)) {
         LeaderStep(leader, emptyList())
     } else {
         val missing = missingTasks(ledger, known, heartbeat, seen, nowMillis)
--- a/core/src/main/kotlin/org/auburnlever/ledger/LedgerState.kt
+++ b/core/src/main/kotlin/org/auburnlever/ledger/LedgerState.kt
@@ -66,7 +66,11 @@
 @Serializable
 data class AccountRecord(val heldAccelerators: Int = 0, val estimateFactor: Double = 1.0)
 
-/** The jobs of a ledger with the indexes that make each transition independent of their number. */
+/**
+ * The jobs of a ledger with the indexes that make each transition independent of their number.
+ *
+ * [payloadChars] counts the payloads of jobs that have not ended, [resultBytes] the results of those that have.
+ */
 @Serializable
 data class JobBook(
     val all: PersistentMap<String, JobRecord> = persistentMapOf(),
@@ -75,6 +79,7 @@
     val done: PersistentMap<String, Long> = persistentMapOf(),
     val keys: PersistentMap<RequestKey, JobKeyRecord> = persistentMapOf(),
     val resultBytes: Long = 0,
+    val payloadChars: Long = 0,
 )
 
 /** Ties a caller's key to its job after the job's record was removed. */
--- a/core/src/main/kotlin/org/auburnlever/ledger/WorkerRecord.kt
+++ b/core/src/main/kotlin/org/auburnlever/ledger/WorkerRecord.kt
@@ -82,4 +82,5 @@
 data class Suspension(val untilMillis: Long, val level: Int, val reason: String)
 
 /** Bit mask of the accelerators of this placement. */
-internal fun TaskPlacement.mask(): Long = accelerators.fold(0L) { mask, index -> mask or (1L shl index) }
+internal fun TaskPlacement.mask(): Long =
+    if (accelerators.isEmpty()) 0L else accelerators.fold(0L) { mask, index -> mask or (1L shl index) }
--- a/core/src/main/kotlin/org/auburnlever/placement/Backfill.kt
+++ b/core/src/main/kotlin/org/auburnlever/placement/Backfill.kt
@@ -25,20 +25,31 @@
 }
 
 /**
- * Finds the earliest time at which [shape] fits if the [running] jobs end as expected, by bisection over their ends;
- * null if it does not fit even then.
+ * Finds the earliest time at which the shape of [job] fits if the [running] jobs end as expected, by bisection over
+ * their ends; null if it does not fit even then.
+ *
+ * For accelerators, the ends of jobs without accelerators are only considered if the others are not enough.
  */
-internal fun Room.reserve(
-    state: LedgerState,
-    running: List<RunningJob>,
-    job: JobRecord,
-    nowMillis: Long,
-): Reservation? {
-    val ends = running.map { it to state.expectedEndMillis(it.job, nowMillis) }
-        .sortedWith(compareBy({ it.second }, { it.first.job.submittedIndex }))
-    val found = bisectReleases(this, ends.map { it.first }) { it.find(job.spec.shape) }
+internal fun Room.reserve(state: LedgerState, running: RunningJobs, job: JobRecord, nowMillis: Long): Reservation? {
+    val few = if (job.spec.shape.acceleratorsPerTask > 0) running.accelerated else emptyList()
+    return reserveAfter(state.endings(few, nowMillis), job, nowMillis)
+        ?: reserveAfter(state.endings(running.all, nowMillis), job, nowMillis)
+}
+
+private fun LedgerState.endings(running: List<RunningJob>, nowMillis: Long): List<Ending> =
+    running.map { Ending(it, expectedEndMillis(it.job, nowMillis)) }.sorted()
+
+private fun Room.reserveAfter(ends: List<Ending>, job: JobRecord, nowMillis: Long): Reservation? {
+    val found = bisectReleases(this, ends.map { it.running }) { it.find(job.spec.shape) }
     return found?.let { (count, placement) ->
-        val startMillis = if (count == 0) nowMillis else ends[count - 1].second
+        val startMillis = if (count == 0) nowMillis else ends[count - 1].atMillis
         Reservation(job.jobId, placement, startMillis)
     }
 }
+
+private class Ending(val running: RunningJob, val atMillis: Long) : Comparable<Ending> {
+    override fun compareTo(other: Ending): Int {
+        val byTime = atMillis.compareTo(other.atMillis)
+        return if (byTime == 0) running.job.submittedIndex.compareTo(other.running.job.submittedIndex) else byTime
+    }
+}
--- a/core/src/main/kotlin/org/auburnlever/placement/FreeRoom.kt
+++ b/core/src/main/kotlin/org/auburnlever/placement/FreeRoom.kt
@@ -41,7 +41,7 @@
     }
 
     /** Keeps the earliest block for [job]; false if it does not fit the usable workers at all. */
-    fun reserve(state: LedgerState, running: List<RunningJob>, job: JobRecord, nowMillis: Long): Boolean {
+    fun reserve(state: LedgerState, running: RunningJobs, job: JobRecord, nowMillis: Long): Boolean {
         val found = room.reserve(state, running, job, nowMillis)
         if (found != null) {
             reservation = found
--- a/core/src/main/kotlin/org/auburnlever/placement/QueuePlanner.kt
+++ b/core/src/main/kotlin/org/auburnlever/placement/QueuePlanner.kt
@@ -28,10 +28,8 @@
 ) {
     private val weights = Weights(bundle.policy.completionTime, bundle.policy.fragmentation)
     private val free = FreeRoom(Room.free(state, weights, nowMillis))
-    private val running by lazy {
-        state.jobs.active.map { RunningJob.of(state.jobs.all.getValue(it), free.room) }
-    }
-    private val displacer by lazy { Displacer(state, leader, running, nowMillis) }
+    private val running = RunningJobs(state, free.room)
+    private val displacer by lazy { Displacer(state, leader, running.all, nowMillis) }
     private val held = mutableMapOf<AccountName, Int>()
     private val notes = WaitNotes(state, nowMillis)
     private val actions = mutableListOf<ScheduleAction>()
--- a/core/src/main/kotlin/org/auburnlever/placement/RunningJob.kt
+++ b/core/src/main/kotlin/org/auburnlever/placement/RunningJob.kt
@@ -1,6 +1,7 @@
 package org.auburnlever.placement
 
 import org.auburnlever.ledger.JobRecord
+import org.auburnlever.ledger.LedgerState
 import org.auburnlever.ledger.mask
 import org.auburnlever.wire.JobPhase
 
@@ -28,14 +29,36 @@
 
     companion object {
         fun of(job: JobRecord, room: Room): RunningJob {
-            val held = job.tasks.filter { !it.state.isFinal && room.place(it.placement.worker) >= 0 }
-            val places = IntArray(held.size) { room.place(held[it].placement.worker) }
-            val masks = LongArray(held.size) { held[it].placement.mask() }
-            return RunningJob(job, places, masks)
+            val places = IntArray(job.tasks.size)
+            val masks = LongArray(job.tasks.size)
+            var held = 0
+            for (task in job.tasks) {
+                val place = if (task.state.isFinal) -1 else room.place(task.placement.worker)
+                if (place >= 0) {
+                    places[held] = place
+                    masks[held] = task.placement.mask()
+                    held++
+                }
+            }
+            val all = held == places.size
+            return if (all) RunningJob(job, places, masks) else RunningJob(job, places.copyOf(held), masks.copyOf(held))
         }
     }
 }
 
+/** All active jobs, resolved only when a plan needs them. */
+internal class RunningJobs(private val state: LedgerState, private val room: Room) {
+    /** Jobs that hold accelerators; far fewer than all where most tasks only need cores. */
+    val accelerated: List<RunningJob> by lazy { resolve { it.spec.shape.acceleratorsPerTask > 0 } }
+
+    val all: List<RunningJob> by lazy { accelerated + resolve { it.spec.shape.acceleratorsPerTask == 0 } }
+
+    private fun resolve(include: (JobRecord) -> Boolean): List<RunningJob> =
+        state.jobs.active.mapNotNull { jobId ->
+            state.jobs.all.getValue(jobId).takeIf(include)?.let { RunningJob.of(it, room) }
+        }
+}
+
 /**
  * Finds the smallest number of [jobs], taken in order, after whose release [attempt] finds something; returns that
  * number and what was found, or null if all of them are not enough. [base] is left as it is.
--- a/core/src/test/kotlin/org/auburnlever/ledger/FakeWorker.kt
+++ b/core/src/test/kotlin/org/auburnlever/ledger/FakeWorker.kt
@@ -20,6 +20,7 @@
 ) {
     var online = true
     var failsStarts = false
+    var draining = false
     private var epochMillis = 1L
     private var sequence = 0L
     private var leaseEndMillis = 0L
@@ -43,6 +44,7 @@
             cores = 128,
             memoryMiB = 512_000,
             tasks = reports,
+            draining = draining,
         )
     }
 
--- a/core/src/test/kotlin/org/auburnlever/placement/GuaranteeTest.kt
+++ b/core/src/test/kotlin/org/auburnlever/placement/GuaranteeTest.kt
@@ -4,7 +4,9 @@
 import org.auburnlever.configuration.ClientAccount
 import org.auburnlever.ledger.DecisionKind
 import org.auburnlever.ledger.FakeWorker
+import org.auburnlever.ledger.LedgerCommand
 import org.auburnlever.ledger.SERVICE
+import org.auburnlever.ledger.ScheduleAction
 import org.auburnlever.ledger.Session
 import org.auburnlever.ledger.account
 import org.auburnlever.ledger.bundle
@@ -63,6 +65,19 @@
         assertEquals(listOf(JobPhase.QUEUED, JobPhase.QUEUED), listOf(session.phase(urgent), session.phase(second)))
     }
 
+    /** Guards against a stale plan that lets one claim take the place planned for another. */
+    @Test
+    fun `a claim can't be placed where another guarantee is planned`() {
+        val session = session(account("dakar-glass", Int.MAX_VALUE, whole), account("joal-salt", Int.MAX_VALUE, whole))
+        val claim = session.submit("dakar-glass", spec(whole))
+        val (own, other) = session.state.guarantees.entries.entries.sortedBy { it.key.account.value }
+        val stale = ScheduleAction.Place(claim, checkNotNull(other.value.placement), own.key, "stale")
+        session.apply(LedgerCommand.Schedule(listOf(stale)))
+        assertEquals(JobPhase.QUEUED, session.phase(claim))
+        session.tick()
+        assertEquals(JobPhase.RESERVING, session.phase(claim))
+    }
+
     /** Guards against preempting the job that would lose the most work. */
     @Test
     fun `urgent work displaces the routine job with the newest checkpoint`() {
