--- a/core/src/main/kotlin/org/auburnlever/ledger/Deadlines.kt
+++ b/core/src/main/kotlin/org/auburnlever/ledger/Deadlines.kt
@@ -6,8 +6,8 @@
 
 private const val DONE_RETENTION_MILLIS = 24 * 3_600_000L
 
-/** Bounds the state; at the target of 590 jobs per day this is more than three days. */
-private const val MAX_DONE_JOBS = 2_000
+/** Bounds the state and its snapshots; at the target of 590 jobs per day this is more than the 24 h. */
+private const val MAX_DONE_JOBS = 1_000
 
 /** Results of done jobs beyond this are removed together with the oldest jobs. */
 private const val MAX_RESULT_BYTES = 4L * 1024 * 1024
--- a/core/src/test/kotlin/org/auburnlever/placement/DecisionTime.kt
+++ b/core/src/test/kotlin/org/auburnlever/placement/DecisionTime.kt
@@ -1,5 +1,6 @@
 package org.auburnlever.placement
 
+import org.auburnlever.codec.Codec
 import org.auburnlever.configuration.Bundle
 import org.auburnlever.ledger.BASE_MILLIS
 import org.auburnlever.ledger.FakeWorker
@@ -94,6 +95,11 @@
         println("accelerators ${summary.acceleratorsTotal}, free ${summary.acceleratorsFree}")
         println("plan: ${quantiles(plans.drop(plans.size / 4))}")
         println("apply: ${quantiles(applies.drop(applies.size / 4))}")
+        repeat(5) {
+            val start = threads.currentThreadCpuTime
+            val size = Codec.encode(state).size
+            println("snapshot: $size bytes in ${(threads.currentThreadCpuTime - start) / 1_000} us")
+        }
     }
 
     /** Time of [count] cancellations in a row, for jobs that wait. */
