Renew leases only after a majority confirmed the leadership

Cause: found by reading. A leader that was frozen and continued answers heartbeats until its first exchange with a peer. It could renew a worker's lease although its successor had declared the worker lost and given its accelerators away.

Change: answers to heartbeats wait for a read round of the group; heartbeats that became answerable in the same 100 ms share one round. An earlier heartbeat of the same worker is no longer answered ahead of time.

Ruled out: longer waits before a worker counts as lost, since a frozen leader has no bound on its age.

Conclusion: at most one round for each 100 ms and leader is added.

--- a/node/src/main/kotlin/org/auburnlever/host/GroupRunner.kt
+++ b/node/src/main/kotlin/org/auburnlever/host/GroupRunner.kt
@@ -80,11 +80,14 @@
         return result
     }
 
-    /** Returns a state that holds every command that was applied anywhere before this call. */
-    suspend fun read(): Submission<S> {
+    /**
+     * Asks a majority whether this replica still leads. The result is a state that holds every command that was applied
+     * anywhere before this call; it is completed on the decision thread.
+     */
+    fun read(): CompletableDeferred<Submission<S>> {
         val result = CompletableDeferred<Submission<S>>()
         inbox.add(GroupInput.Read(result))
-        return result.await()
+        return result
     }
 
     /** Changes the membership; returns once the change is committed or certainly has no effect. */
--- a/node/src/main/kotlin/org/auburnlever/host/HeldHeartbeats.kt
+++ b/node/src/main/kotlin/org/auburnlever/host/HeldHeartbeats.kt
@@ -9,6 +9,14 @@
 
 /** Heartbeats whose answers wait for orders; used by the decision thread only. */
 internal class HeldHeartbeats {
+    /** A heartbeat that can be answered with [orders] once leadership is confirmed. */
+    class Ready(private val orders: List<TaskOrder>, private val reply: CompletableDeferred<HeartbeatReply?>) {
+        /** Renews the lease and hands out the orders, or refuses if this replica does not lead any more. */
+        fun answer(leads: Boolean) {
+            reply.complete(if (leads) HeartbeatReply(LEASE_MILLIS, orders) else null)
+        }
+    }
+
     private class Held(
         val heartbeat: WorkerHeartbeat,
         val untilMillis: Long,
@@ -17,24 +25,21 @@
 
     private var held = emptyList<Held>()
 
-    /** Holds [heartbeat]; an earlier one of the same worker is answered, since the worker stopped waiting for it. */
+    /** Holds [heartbeat] until there are orders, at the latest for 1 s. */
     fun add(heartbeat: WorkerHeartbeat, nowMillis: Long, reply: CompletableDeferred<HeartbeatReply?>) {
-        val (earlier, rest) = held.partition { it.heartbeat.worker == heartbeat.worker }
-        earlier.forEach { it.reply.complete(answer(emptyList())) }
-        held = rest + Held(heartbeat, nowMillis + HOLD_MILLIS, reply)
+        held = held + Held(heartbeat, nowMillis + HOLD_MILLIS, reply)
     }
 
-    /** Says whether some heartbeat has been held long enough. */
-    fun anyDue(nowMillis: Long): Boolean = held.any { it.untilMillis <= nowMillis }
-
-    /** Answers the heartbeats that have orders in [state] or have been held long enough. */
-    fun answer(state: LedgerState, nowMillis: Long) {
+    /** Takes out the heartbeats that have orders in [state] or have been held long enough. */
+    fun takeReady(state: LedgerState, nowMillis: Long): List<Ready> {
+        val ready = mutableListOf<Ready>()
         held = held.filter { waiting ->
             val orders = ordersFor(state, waiting.heartbeat)
-            val answered = orders.isNotEmpty() || waiting.untilMillis <= nowMillis
-            if (answered) waiting.reply.complete(answer(orders))
-            !answered
+            val isReady = orders.isNotEmpty() || waiting.untilMillis <= nowMillis
+            if (isReady) ready += Ready(orders, waiting.reply)
+            !isReady
         }
+        return ready
     }
 
     /** Gives all heartbeats back without an answer. */
@@ -43,8 +48,6 @@
         held = emptyList()
     }
 
-    private fun answer(orders: List<TaskOrder>) = HeartbeatReply(LEASE_MILLIS, orders)
-
     private companion object {
         /** A worker stops its tasks this long after it sent the last answered heartbeat. */
         const val LEASE_MILLIS = 10_000L
--- a/node/src/main/kotlin/org/auburnlever/host/LedgerGroup.kt
+++ b/node/src/main/kotlin/org/auburnlever/host/LedgerGroup.kt
@@ -42,7 +42,7 @@
     suspend fun submit(command: LedgerCommand): Submission<LedgerReply> = runner.propose(stamp(command)).await()
 
     /** Answers [query] as JSON from a state that is not older than this call. */
-    suspend fun read(query: LedgerQuery): Submission<String> = when (val result = runner.read()) {
+    suspend fun read(query: LedgerQuery): Submission<String> = when (val result = runner.read().await()) {
         is Submission.Applied -> Submission.Applied(result.reply.answer(query))
         is Submission.NotLeader -> result
         is Submission.Refused -> result
@@ -75,10 +75,26 @@
         val nowMillis = clock.nowMillis()
         followLeadership(view, nowMillis)
         val soft = leader ?: return
-        if (view.appliedIndex != seenIndex || held.anyDue(nowMillis)) held.answer(view.state, nowMillis)
         val due = view.appliedIndex != seenIndex || nowMillis - lastTickMillis >= TICK_MILLIS
-        seenIndex = view.appliedIndex
-        if (due) runTick(view, soft, nowMillis)
+        if (due) {
+            seenIndex = view.appliedIndex
+            answerHeld(view, nowMillis)
+            runTick(view, soft, nowMillis)
+        }
+    }
+
+    /**
+     * Answers heartbeats after a majority confirmed the leadership. A leader that was deposed without knowing, such as
+     * one that was frozen, must not renew a lease: its successor may have given the worker's accelerators away.
+     */
+    private fun answerHeld(view: GroupView<LedgerState>, nowMillis: Long) {
+        val ready = held.takeReady(view.state, nowMillis)
+        if (ready.isEmpty()) return
+        val confirmation = runner.read()
+        confirmation.invokeOnCompletion {
+            val leads = confirmation.getCompleted() is Submission.Applied
+            ready.forEach { it.answer(leads) }
+        }
     }
 
     private fun followLeadership(view: GroupView<LedgerState>, nowMillis: Long) {
@@ -104,9 +120,9 @@
 
     /** Plans again only after the earlier decisions are applied, so that none is proposed twice. */
     private fun runTick(view: GroupView<LedgerState>, soft: LeaderState, nowMillis: Long) {
+        lastTickMillis = nowMillis
         inFlight = inFlight.filter { it.isActive }
         if (inFlight.isNotEmpty()) return
-        lastTickMillis = nowMillis
         val step = tick(view.state, soft, inForce(), domain, nowMillis)
         leader = step.leader
         inFlight = step.commands.map { runner.propose(stamp(it)) }
--- /dev/null
+++ b/node/src/test/kotlin/org/auburnlever/host/LeaderCallsTest.kt
@@ -0,0 +1,102 @@
+package org.auburnlever.host
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.getError
+import kotlinx.coroutines.runBlocking
+import org.auburnlever.ledger.LedgerCommand
+import org.auburnlever.ledger.LedgerReply
+import org.auburnlever.peer.PeerReply
+import org.auburnlever.peer.PeerRequest
+import org.auburnlever.transport.CallError
+import org.auburnlever.transport.Peer
+import org.auburnlever.transport.PeerClient
+import org.auburnlever.transport.PeerDirectory
+import org.auburnlever.world.DomainName
+import org.auburnlever.world.HostName
+import org.auburnlever.world.RegionName
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertIs
+
+class LeaderCallsTest {
+    private val domain = DomainName("dakar-a")
+    private val hosts = listOf(HostName("one"), HostName("two"), HostName("three"))
+
+    /** Guards against a request that is reported as not run although an attempt may have been taken. */
+    @Test
+    fun `an attempt without a reply makes the submission undecided`() {
+        val answers = listOf<Result<PeerReply, CallError>>(
+            Err(CallError.NoReply("link closed")),
+            Ok(PeerReply.NotLeader(null)),
+        )
+        assertIs<SubmitError.Undecided>(submit(FakePeers(hosts, answers)).getError())
+    }
+
+    /** Guards against outcomes that stay unknown although nothing was ever sent. */
+    @Test
+    fun `a submission that no replica took is not submitted`() {
+        val answers = listOf<Result<PeerReply, CallError>>(
+            Err(CallError.NotSent("no link")),
+            Ok(PeerReply.NotLeader(null)),
+        )
+        assertIs<SubmitError.NotSubmitted>(submit(FakePeers(hosts, answers)).getError())
+    }
+
+    /** Guards against a client that keeps asking a follower that already named the leader. */
+    @Test
+    fun `the named leader is asked next`() {
+        val peers = FakePeers(
+            hosts,
+            listOf(Ok(PeerReply.NotLeader(hosts[2])), Ok(PeerReply.Ledger(LedgerReply.Done))),
+        )
+        assertEquals(Ok(LedgerReply.Done), submit(peers))
+        assertEquals(listOf(hosts[0], hosts[2]), peers.asked)
+    }
+
+    /** Guards against a lost reply that ends the submission although a resend is answered. */
+    @Test
+    fun `an idempotent command is sent again after a lost reply`() {
+        val answers = listOf<Result<PeerReply, CallError>>(
+            Err(CallError.NoReply("link closed")),
+            Ok(PeerReply.Ledger(LedgerReply.Done)),
+        )
+        assertEquals(Ok(LedgerReply.Done), submit(FakePeers(hosts, answers)))
+    }
+
+    private fun submit(peers: FakePeers): Result<LedgerReply, SubmitError> {
+        val calls = LeaderCalls(peers, peers, ClusterView(), { hosts }, HostClock())
+        val client = ClusterLedgerClient(calls) { null }
+        return runBlocking { client.submit(domain, LedgerCommand.TimePassed, TIMEOUT_MILLIS) }
+    }
+
+    /** Answers calls with [answers] in order, and with the last one from then on. */
+    private class FakePeers(
+        hosts: List<HostName>,
+        private val answers: List<Result<PeerReply, CallError>>,
+    ) : PeerClient, PeerDirectory {
+        val asked = mutableListOf<HostName>()
+
+        override val self = peer(HostName("self"))
+
+        override val others = hosts.map { peer(it) }
+
+        override fun reachable() = others.map { it.host }.toSet()
+
+        override suspend fun call(
+            host: HostName,
+            request: PeerRequest,
+            timeoutMillis: Long,
+        ): Result<PeerReply, CallError> {
+            asked += host
+            return answers[minOf(asked.size, answers.size) - 1]
+        }
+
+        private fun peer(host: HostName) = Peer(host, RegionName("dakar"), DomainName("dakar-a"), "127.0.0.1", 1)
+    }
+
+    private companion object {
+        const val TIMEOUT_MILLIS = 400L
+    }
+}
