Bound the claims that one plan serves

Cause: each waiting claim copies the free capacity of all workers, so a burst of claims would make one plan take long.

Change: a plan serves at most 16 claims; the next plan serves the others. A test submits 20 claims at once against a domain full of borrowed work.

Ruled out: ending the plan after 16 claims, because other work would wait for claims that wait for stops.

Conclusion: the time of a plan no longer grows with the length of a burst.

--- a/core/src/main/kotlin/org/auburnlever/placement/QueuePlanner.kt
+++ b/core/src/main/kotlin/org/auburnlever/placement/QueuePlanner.kt
@@ -13,6 +13,9 @@
 /** Bounds one log entry; the rest follows with the next call. */
 private const val MAX_PLACEMENTS = 64
 
+/** Bounds the time of one call; further claims are served by the next one. */
+private const val MAX_CLAIMS = 16
+
 /** Bounds the time of one call: jobs that need a search for victims are rare in practice. */
 private const val MAX_DISPLACEMENTS = 8
 
@@ -33,6 +36,7 @@
     private val held = mutableMapOf<AccountName, Int>()
     private val notes = WaitNotes(state, nowMillis)
     private val actions = mutableListOf<ScheduleAction>()
+    private var claims = 0
     private var displacements = 0
     private var reservations = 0
     private var placements = 0
@@ -44,7 +48,7 @@
     }
 
     private fun serve(queued: QueuedJob) = when {
-        queued.guarantee != null -> serveClaim(queued, queued.guarantee)
+        queued.guarantee != null -> if (claims++ < MAX_CLAIMS) serveClaim(queued, queued.guarantee) else Unit
         isOverQuota(queued.job) -> notes.waitsForQuota(queued.job)
         queued.queueClass == QueueClass.URGENT -> serveUrgent(queued)
         else -> serveRoutine(queued)
--- a/core/src/test/kotlin/org/auburnlever/placement/GuaranteeTest.kt
+++ b/core/src/test/kotlin/org/auburnlever/placement/GuaranteeTest.kt
@@ -65,6 +65,17 @@
         assertEquals(listOf(JobPhase.QUEUED, JobPhase.QUEUED), listOf(session.phase(urgent), session.phase(second)))
     }
 
+    /** Guards against claims that starve when more arrive at once than one plan serves. */
+    @Test
+    fun `a burst of claims is served in full`() {
+        val session = session(account("dakar-glass", 1, *Array(20) { Shape(1, 1) }), account("joal-salt"), perRack = 3)
+        repeat(3) { session.submit("joal-salt", spec(whole), 600_000) }
+        session.pass(5_000)
+        val claims = List(20) { session.submit("dakar-glass", spec(Shape(1, 1)), 600_000) }
+        session.pass(8_000)
+        assertEquals(List(20) { JobPhase.RUNNING }, claims.map { session.phase(it) })
+    }
+
     /** Guards against a stale plan that lets one claim take the place planned for another. */
     @Test
     fun `a claim can't be placed where another guarantee is planned`() {
