--- a/auburnctl/src/main/kotlin/org/auburnlever/ctl/JobCommands.kt
+++ b/auburnctl/src/main/kotlin/org/auburnlever/ctl/JobCommands.kt
@@ -47,12 +47,12 @@
 
 private fun Console.showJob(json: String) {
     val view = answerJson.decodeFromString(JobView.serializer(), json)
-    val outcome = listOfNotNull(view.outcome, view.reason).joinToString(": ").ifEmpty { "-" }
     out.println("job: ${view.jobId}")
     out.println("account: ${view.account}")
     out.println("failure domain: ${view.failureDomain}")
     out.println("phase: ${view.phase.name.lowercase()}, attempt ${view.attempt}")
-    out.println("outcome: $outcome")
+    out.println("outcome: ${view.outcome ?: "-"}")
+    out.println("reason: ${view.reason ?: "-"}")
     out.println("waited: ${view.waitedMillis} ms, ran: ${view.ranMillis} ms")
     view.results.forEachIndexed { task, result -> out.println("result of task $task: $result") }
 }
--- /dev/null
+++ b/auburnctl/src/main/kotlin/org/auburnlever/ctl/LedgerText.kt
@@ -0,0 +1,24 @@
+package org.auburnlever.ctl
+
+import kotlinx.serialization.json.JsonArray
+import kotlinx.serialization.json.JsonElement
+import kotlinx.serialization.json.JsonObject
+
+/** Says in a few words what the summary of a ledger holds; parts that it does not have are left out. */
+internal fun ledgerText(summary: JsonElement): String {
+    val fields = summary as? JsonObject ?: return "-"
+    val jobs = (fields["jobsByPhase"] as? JsonObject).orEmpty().map { (phase, count) -> "$count $phase" }
+    val parts = listOfNotNull(
+        fields["workers"]?.let { "$it workers" },
+        listed("lost", fields["workersLost"]),
+        listed("suspended", fields["workersSuspended"]),
+        jobs.takeIf { it.isNotEmpty() }?.joinToString(", ", prefix = "jobs: "),
+        listed("guarantees at risk", fields["guaranteesAtRisk"]),
+    )
+    return parts.joinToString("; ").ifEmpty { "-" }
+}
+
+private fun listed(name: String, element: JsonElement?): String? {
+    val entries = element as? JsonArray ?: return null
+    return entries.takeIf { it.isNotEmpty() }?.let { "$name: ${it.joinToString()}" }
+}
--- a/auburnctl/src/main/kotlin/org/auburnlever/ctl/ServerClient.kt
+++ b/auburnctl/src/main/kotlin/org/auburnlever/ctl/ServerClient.kt
@@ -63,8 +63,10 @@
             answered(server, response, earlierLost)
         } catch (e: CompletionException) {
             val cause = e.cause
-            val reason = "${(cause ?: e).javaClass.simpleName} after at most $timeoutMillis ms"
-            ServerAnswer.None("$server: $reason", maybeSent = cause !is UnprocessedRequestException)
+            // The cause of an unprocessed request says why there is no connection.
+            val reason = cause?.cause ?: cause ?: e
+            val text = reason.message ?: reason.javaClass.simpleName
+            ServerAnswer.None("$server: $text (limit $timeoutMillis ms)", maybeSent = cause !is UnprocessedRequestException)
         }
 
     private fun answered(server: String, response: AggregatedHttpResponse, earlierLost: Boolean) =
--- a/node/src/main/kotlin/org/auburnlever/entry/ConfigurationChanges.kt
+++ b/node/src/main/kotlin/org/auburnlever/entry/ConfigurationChanges.kt
@@ -39,10 +39,12 @@
 
     private fun operators(): List<Operator> = client.inForce?.operators ?: genesisOperators
 
+    /**
+     * The first bundle is not checked: workers announce themselves with tokens of a bundle, so none can be known.
+     * A resend or a late proposal is not checked either: it gets its lasting answer from the log.
+     */
     private fun capacityError(bundle: Bundle): ConfigurationError? {
-        val inForce = client.inForce
-        // A resend or a late proposal is not checked: it gets its lasting answer from the log.
-        if (bundle.version <= (inForce?.version ?: 0)) return null
+        val inForce = client.inForce?.takeIf { bundle.version > it.version } ?: return null
         val problems = bundle.capacityProblems(inForce, announcedAccelerators())
         return problems.ifEmpty { null }?.let { ConfigurationError.InvalidBundle.of(it) }
     }
--- a/node/src/main/kotlin/org/auburnlever/entry/GuaranteeCapacity.kt
+++ b/node/src/main/kotlin/org/auburnlever/entry/GuaranteeCapacity.kt
@@ -11,8 +11,8 @@
  * A sum that the bundle in force already has is no problem: workers may be lost for a while, which must not stop other
  * changes. Domains that are missing in [announced] are not checked, since their workers are not known yet.
  */
-internal fun Bundle.capacityProblems(inForce: Bundle?, announced: Map<DomainName, Int>): List<FieldProblem> {
-    val before = inForce?.guaranteedByDomain().orEmpty()
+internal fun Bundle.capacityProblems(inForce: Bundle, announced: Map<DomainName, Int>): List<FieldProblem> {
+    val before = inForce.guaranteedByDomain()
     return guaranteedByDomain()
         .filter { (domain, sum) -> sum > (announced[domain] ?: Int.MAX_VALUE) && sum > (before[domain] ?: 0) }
         .map { (domain, sum) ->
