--- a/auburnctl/src/main/kotlin/org/auburnlever/ctl/ServerClient.kt
+++ b/auburnctl/src/main/kotlin/org/auburnlever/ctl/ServerClient.kt
@@ -62,13 +62,17 @@
             val response = client(server).execute(toHttp(request, earlierLost)).aggregate().join()
             answered(server, response, earlierLost)
         } catch (e: CompletionException) {
-            val cause = e.cause
-            // The cause of an unprocessed request says why there is no connection.
-            val reason = cause?.cause ?: cause ?: e
-            val text = reason.message ?: reason.javaClass.simpleName
-            ServerAnswer.None("$server: $text (limit $timeoutMillis ms)", maybeSent = cause !is UnprocessedRequestException)
+            lost(server, e.cause ?: e)
         }
 
+    private fun lost(server: String, failure: Throwable): ServerAnswer.None {
+        // The cause of an unprocessed request says why there is no connection.
+        val reason = failure.cause ?: failure
+        val text = reason.message ?: reason.javaClass.simpleName
+        val maybeSent = failure !is UnprocessedRequestException
+        return ServerAnswer.None("$server: $text (limit $timeoutMillis ms)", maybeSent)
+    }
+
     private fun answered(server: String, response: AggregatedHttpResponse, earlierLost: Boolean) =
         ServerAnswer.Answered(
             server = server,
