--- a/core/src/test/kotlin/org/auburnlever/placement/GuaranteeTest.kt
+++ b/core/src/test/kotlin/org/auburnlever/placement/GuaranteeTest.kt
@@ -4,7 +4,9 @@
 import org.auburnlever.configuration.ClientAccount
 import org.auburnlever.ledger.DecisionKind
 import org.auburnlever.ledger.FakeWorker
+import org.auburnlever.ledger.LedgerCommand
 import org.auburnlever.ledger.SERVICE
+import org.auburnlever.ledger.ScheduleAction
 import org.auburnlever.ledger.Session
 import org.auburnlever.ledger.account
 import org.auburnlever.ledger.bundle
@@ -63,6 +65,30 @@
         assertEquals(listOf(JobPhase.QUEUED, JobPhase.QUEUED), listOf(session.phase(urgent), session.phase(second)))
     }
 
+    /** Guards against claims that starve when more arrive at once than one plan serves. */
+    @Test
+    fun `a burst of claims is served in full`() {
+        val session = session(account("dakar-glass", 1, *Array(20) { Shape(1, 1) }), account("joal-salt"), perRack = 3)
+        repeat(3) { session.submit("joal-salt", spec(whole), 600_000) }
+        session.pass(5_000)
+        val claims = List(20) { session.submit("dakar-glass", spec(Shape(1, 1)), 600_000) }
+        session.pass(8_000)
+        assertEquals(List(20) { JobPhase.RUNNING }, claims.map { session.phase(it) })
+    }
+
+    /** Guards against a stale plan that lets one claim take the place planned for another. */
+    @Test
+    fun `a claim can't be placed where another guarantee is planned`() {
+        val session = session(account("dakar-glass", Int.MAX_VALUE, whole), account("joal-salt", Int.MAX_VALUE, whole))
+        val claim = session.submit("dakar-glass", spec(whole))
+        val (own, other) = session.state.guarantees.entries.entries.sortedBy { it.key.account.value }
+        val stale = ScheduleAction.Place(claim, checkNotNull(other.value.placement), own.key, "stale")
+        session.apply(LedgerCommand.Schedule(listOf(stale)))
+        assertEquals(JobPhase.QUEUED, session.phase(claim))
+        session.tick()
+        assertEquals(JobPhase.RESERVING, session.phase(claim))
+    }
+
     /** Guards against preempting the job that would lose the most work. */
     @Test
     fun `urgent work displaces the routine job with the newest checkpoint`() {
--- a/node/src/main/kotlin/org/auburnlever/host/ClusterView.kt
+++ b/node/src/main/kotlin/org/auburnlever/host/ClusterView.kt
@@ -17,10 +17,6 @@
     private val newest = ConcurrentHashMap<HostName, PeerMessage.Gossip>()
     private val known = ConcurrentHashMap<GroupName, GroupLeader>()
 
-    /** Accelerators of this failure domain while this host leads its ledger; no gossip of others tells them. */
-    @Volatile
-    var ownCapacity: DomainCapacity? = null
-
     /** The newest gossip of each host. */
     val gossip: Map<HostName, PeerMessage.Gossip> get() = newest
 
@@ -49,7 +45,11 @@
         newest.forEach { (host, gossip) -> put("bundle version of $host", gossip.bundleVersion) }
     }
 
-    /** Accelerators of each failure domain, as its ledger's leader reported them. */
+    /** Accelerators of each failure domain, as the leader of its ledger reported them last. */
     fun capacities(): Map<DomainName, DomainCapacity> =
-        (newest.values.mapNotNull { it.capacity } + listOfNotNull(ownCapacity)).associateBy { DomainName(it.domain) }
+        newest.values.mapNotNull { gossip -> gossip.capacity?.takeIf { isLeader(gossip.host, it) } }
+            .associateBy { DomainName(it.domain) }
+
+    private fun isLeader(host: HostName, capacity: DomainCapacity): Boolean =
+        known[ledgerGroup(DomainName(capacity.domain))]?.leader == host
 }
