Gossip endpoint announcements with the time on the way

Cause: a gossip message that was held up looked fresh, so an endpoint could stay in use longer than 3 s after its last announcement; a draining host went on advertising free slots.

Ruled out: comparing wall clocks, which differ between hosts.

Measured: `bin/demo` ends with `demo passed` as before.

Conclusion: the bound of 3 s no longer depends on how fast gossip travels.

--- a/node/src/main/kotlin/org/auburnlever/host/GossipSender.kt
+++ b/node/src/main/kotlin/org/auburnlever/host/GossipSender.kt
@@ -1,6 +1,6 @@
 package org.auburnlever.host
 
-import org.auburnlever.entry.DomainRouting
+import org.auburnlever.entry.RoutingGossip
 import org.auburnlever.ledger.LedgerState
 import org.auburnlever.ledger.summary
 import org.auburnlever.peer.DomainCapacity
@@ -13,18 +13,21 @@
 /** Tells all other hosts about this one. */
 internal class GossipSender(
     private val transport: PeerTransport,
-    private val incarnation: Long,
     private val groups: HostGroups,
     private val cluster: ClusterView,
     private val activeBundle: ActiveBundle,
-    private val routing: DomainRouting,
+    private val routing: RoutingGossip,
+    private val clock: HostClock,
 ) {
+    /** Distinguishes this run of the process from earlier ones. */
+    private val incarnation = clock.nowMillis()
+
     /** Sends one round; announcements of endpoints go to the entry hosts of the own failure domain only. */
     fun send() {
         noteOwnLeaders()
         val general = gossip()
         cluster.heard(general)
-        val own = general.copy(endpoints = routing.announcements())
+        val own = general.copy(endpoints = routing.endpoints())
         transport.others.forEach { peer -> transport.send(peer.host, if (isNeighbour(peer)) own else general) }
     }
 
@@ -35,8 +38,9 @@
         bundleDigestHex = activeBundle.digestHex,
         endpoints = emptyList(),
         leaders = cluster.leaders(),
-        loads = routing.serviceLoads(),
+        loads = routing.loads(),
         capacity = capacity(),
+        sentMillis = clock.nowMillis(),
         incarnations = groups.runners.associate { it.group to it.view.replica.incarnation },
     )
 
--- a/node/src/main/kotlin/org/auburnlever/host/HostParts.kt
+++ b/node/src/main/kotlin/org/auburnlever/host/HostParts.kt
@@ -19,6 +19,7 @@
 import org.auburnlever.entry.LedgerReader
 import org.auburnlever.entry.OperatorAccess
 import org.auburnlever.entry.ProposalService
+import org.auburnlever.entry.RoutingGossip
 import org.auburnlever.entry.RoutingMetrics
 import org.auburnlever.entry.ServiceRequestService
 import org.auburnlever.entry.SignOffService
@@ -63,12 +64,14 @@
     private val forwarder = Forwarder(transport, transport, metrics, clock::nowMillis)
     private val dispatcher =
         Dispatcher(routing, forwarder, HttpEndpointClient(base.loops), metrics, inForce, clock::nowMillis)
+    private val routingGossip = RoutingGossip(routing, forwarder, dispatcher, domain, clock::nowMillis)
     private val calls = LeaderCalls(transport, transport, cluster, ::replicas, clock)
     private val ledgers = ClusterLedgerClient(calls) { groups.ledgers[it] }
     private val configuration = ClusterConfigurationClient(calls, groups.configuration, activeBundle)
     private val context = EntryContext(settings.self.host, base.scope, inForce, clock::nowMillis)
     private val access = OperatorAccess(Authenticator(inForce), inForce)
-    private val gossip = GossipSender(transport, processIncarnation(), groups, cluster, activeBundle, routing)
+    private val gossip =
+        GossipSender(transport, groups, cluster, activeBundle, routingGossip, clock)
     private val reader = LedgerReader(ledgers)
 
     /** Service requests; drained at shutdown. */
@@ -93,10 +96,8 @@
         groups,
         cluster,
         activeBundle,
-        routing,
-        forwarder,
+        routingGossip,
         dispatcher,
-        transport,
         dump::collect,
         upkeep::fetchBundle,
     )
@@ -143,7 +144,4 @@
         settings.groups.firstOrNull { it.name == group }?.replicas().orEmpty()
 
     private fun announcedAccelerators() = cluster.capacities().mapValues { it.value.acceleratorsTotal }
-
-    /** Distinguishes this run of the process from earlier ones. */
-    private fun processIncarnation(): Long = clock.nowMillis()
 }
--- a/node/src/main/kotlin/org/auburnlever/host/PeerCalls.kt
+++ b/node/src/main/kotlin/org/auburnlever/host/PeerCalls.kt
@@ -3,13 +3,11 @@
 import org.auburnlever.consensus.MembershipChange
 import org.auburnlever.consensus.ReplicaInput
 import org.auburnlever.entry.Dispatcher
-import org.auburnlever.entry.DomainRouting
-import org.auburnlever.entry.Forwarder
+import org.auburnlever.entry.RoutingGossip
 import org.auburnlever.observe.Dumpable
 import org.auburnlever.peer.PeerMessage
 import org.auburnlever.peer.PeerReply
 import org.auburnlever.peer.PeerRequest
-import org.auburnlever.transport.PeerDirectory
 import org.auburnlever.transport.PeerHandler
 import org.auburnlever.wire.HeartbeatReply
 import org.auburnlever.world.HostName
@@ -19,10 +17,8 @@
     val groups: HostGroups,
     val cluster: ClusterView,
     val activeBundle: ActiveBundle,
-    val routing: DomainRouting,
-    val forwarder: Forwarder,
+    val routing: RoutingGossip,
     val dispatcher: Dispatcher,
-    val directory: PeerDirectory,
     val dump: Dumpable,
     val onNewerBundle: (HostName) -> Unit,
 )
@@ -45,8 +41,7 @@
     override fun onGossip(gossip: PeerMessage.Gossip) {
         val parts = parts ?: return
         parts.cluster.heard(gossip)
-        parts.forwarder.heard(gossip.host, gossip.loads)
-        if (isOfOwnDomain(parts, gossip.host)) parts.routing.heard(gossip.endpoints)
+        parts.routing.heard(gossip.host, gossip.sentMillis, gossip.endpoints, gossip.loads)
         if (gossip.bundleVersion > parts.activeBundle.version) parts.onNewerBundle(gossip.host)
     }
 
@@ -83,9 +78,6 @@
         val runner = parts.groups.runners.firstOrNull { it.group == request.group }
         return runner?.change(MembershipChange.AddLearner(request.replica)).toReply { PeerReply.Ok }
     }
-
-    private fun isOfOwnDomain(parts: AnsweringParts, host: HostName): Boolean =
-        parts.directory.others.any { it.host == host && it.failureDomain == parts.directory.self.failureDomain }
 }
 
 /** A group that this host keeps no replica of, null here, is answered like one that it does not lead. */
