--- a/node/src/main/kotlin/org/auburnlever/storage/LogStore.kt
+++ b/node/src/main/kotlin/org/auburnlever/storage/LogStore.kt
@@ -71,17 +71,17 @@
         if (output.sizeBytes >= MAX_SEGMENT_BYTES) {
             beginSegment(files.segment(segment.snapshotIndex, segment.sequence + 1), ByteArray(0))
         }
-        output.append(encodeRecord(writes))
+        output.append(encodeBatch(writes))
         output.sync()
     }
 
     private fun install(snapshot: Snapshot) {
-        disk.createWhole(files.snapshot(snapshot.lastIndex).file, encodeRecord(snapshot))
+        disk.writeSnapshot(files.snapshot(snapshot.lastIndex), snapshot)
         continueAfterSnapshot()
     }
 
     private fun continueAfterSnapshot() {
-        beginSegment(files.segment(image.snapshotIndex, sequence = 0), encodeRecord(image.toWrites()))
+        beginSegment(files.segment(image.snapshotIndex, sequence = 0), encodeBatch(image.toWrites()))
         files.removeBefore(image.snapshotIndex)
     }
 
--- a/node/src/test/kotlin/org/auburnlever/storage/LogStoreTest.kt
+++ b/node/src/test/kotlin/org/auburnlever/storage/LogStoreTest.kt
@@ -72,7 +72,7 @@
     fun `a snapshot without its segment is combined with the older segment`() {
         format()
         opened { it.store.write(listOf(vote, append(1..9))) }
-        SystemDisk.createWhole(LogFiles(folder).snapshot(5).file, encodeRecord(snapshot(5)))
+        SystemDisk.writeSnapshot(LogFiles(folder).snapshot(5), snapshot(5))
         repeat(2) { assertEquals(RecoveredLog(3, replica, snapshot(5), (6L..9L).map { entry(it) }), recovered()) }
         assertTrue(files("log-").single().name.contains("5-"))
     }
@@ -111,6 +111,38 @@
         }
     }
 
+    /** Guards against a torn record that is accepted although later segments show that it was complete once. */
+    @Test
+    fun `a long log continues in a second segment, and the first must be whole`() {
+        format()
+        val large = EntryPayload.Command(Bytes(ByteArray(1_024 * 1_024)))
+        val writes = (1L..9).map { DurableWrite.Append(listOf(LogEntry(it, 1, large))) }
+        opened { opened -> writes.forEach { opened.store.write(listOf(it)) } }
+        val (first, second) = files("log-").sorted()
+        assertEquals((1L..9).toList(), recovered().entries.map { it.index })
+        Files.write(first, Files.readAllBytes(first).let { it.copyOf(it.size - 1) })
+        assertEquals(first, assertIs<StorageError.Corrupt>(open().getError()).file)
+        Files.delete(first)
+        assertEquals(first, assertIs<StorageError.Corrupt>(open().getError()).file)
+        assertTrue(Files.exists(second))
+    }
+
+    /** Guards against a state machine or an identity that starts from damaged bytes. */
+    @Test
+    fun `a damaged snapshot or identity stops the start`() {
+        format()
+        opened { it.store.write(listOf(append(1..9), DurableWrite.Install(snapshot(5)))) }
+        for (file in listOf("snapshot-", "identity").map { files(it).single() }) {
+            val intact = Files.readAllBytes(file)
+            for (position in intact.indices) {
+                Files.write(file, intact.copyOf().also { it[position] = (it[position] + 1).toByte() })
+                assertEquals(file, assertIs<StorageError.Corrupt>(open().getError(), "byte $position").file)
+            }
+            Files.write(file, intact)
+        }
+        assertEquals(snapshot(5), recovered().snapshot)
+    }
+
     /** Guards against a removed file that looks like an empty log, which would return a vote already given. */
     @Test
     fun `missing files stop the start`() {
@@ -164,6 +196,31 @@
         }
     }
 
+    /** Guards against a failure between two steps of a write that leaves files which no start accepts. */
+    @Test
+    fun `after a failure of any operation the store holds all finished writes`() {
+        val batches = listOf(
+            listOf(vote, append(1..4)),
+            listOf(append(5..8), DurableWrite.Install(snapshot(6)), append(9..9)),
+            listOf(DurableWrite.Install(snapshot(9)), append(10..11)),
+        )
+        val lastIndices = listOf(0, 4, 9, 11)
+        for (allowed in 0..20) {
+            val part = folder.resolve("$allowed")
+            LogStore.format(part, host)
+            val disk = FailingDisk(failAppends = true, "Input/output error").also { it.failAfter(allowed) }
+            val written = LogStore.open(part, host, disk).getOrElse { error(it.message) }.store.use { store ->
+                batches.takeWhile { store.write(it) == Ok(Unit) }.size
+            }
+            val reopened = LogStore.open(part, host).getOrElse { error(it.message) }
+            reopened.store.close()
+            val recovered = reopened.recovered
+            val last = recovered.entries.lastOrNull()?.index ?: recovered.snapshot?.lastIndex ?: 0
+            assertTrue(last >= lastIndices[written], "entry $last after $written batches, $allowed operations")
+            assertEquals(if (written > 0) vote.term else recovered.term, recovered.term)
+        }
+    }
+
     private fun format() = assertEquals(Ok(replica), LogStore.format(folder, host))
 
     private fun open() = LogStore.open(folder, host)
@@ -185,9 +242,14 @@
         Snapshot(lastIndex, 1, Membership(mapOf(replica to ReplicaRole.VOTER)), Bytes.of("state at $lastIndex"))
 }
 
-/** Fails to append or to sync while [failing]. */
+/** Fails to append or to sync while [failing], or once it has done a number of operations. */
 private class FailingDisk(private val failAppends: Boolean, private val message: String) : Disk {
     var failing = false
+    private var remaining = Int.MAX_VALUE
+
+    fun failAfter(operations: Int) {
+        remaining = operations
+    }
 
     override fun open(file: Path): AppendFile {
         val delegate = SystemDisk.open(file)
@@ -199,7 +261,7 @@
     }
 
     private fun failIf(affected: Boolean, action: () -> Unit) {
-        if (failing && affected) throw IOException(message)
+        if (failing && affected || remaining-- <= 0) throw IOException(message)
         action()
     }
 }
