--- a/auburnctl/src/main/kotlin/org/auburnlever/ctl/LedgerText.kt
+++ b/auburnctl/src/main/kotlin/org/auburnlever/ctl/LedgerText.kt
@@ -3,6 +3,7 @@
 import kotlinx.serialization.json.JsonArray
 import kotlinx.serialization.json.JsonElement
 import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.JsonPrimitive
 
 /** Says in a few words what the summary of a ledger holds; parts that it does not have are left out. */
 internal fun ledgerText(summary: JsonElement): String {
@@ -20,5 +21,11 @@
 
 private fun listed(name: String, element: JsonElement?): String? {
     val entries = element as? JsonArray ?: return null
-    return entries.takeIf { it.isNotEmpty() }?.let { "$name: ${it.joinToString()}" }
+    return entries.takeIf { it.isNotEmpty() }?.joinToString(prefix = "$name: ") { nameOf(it) }
+}
+
+/** A guarantee is named by its account, since that is whom the operator has to tell. */
+private fun nameOf(entry: JsonElement): String {
+    val named = (entry as? JsonObject)?.get("account") ?: entry
+    return (named as? JsonPrimitive)?.content ?: named.toString()
 }
