Use one parser of keys, one set of shape ranges and the timeout settings

Cause: found by reading. The ledger and the routing parsed a caller's key with different limits, so a key could pass one and fail the other; jobs accepted gangs of up to 1,024 tasks where bundles permit 64; the settings `defaultRequestTimeoutMillis` and `maxRequestTimeoutMillis` had no effect on requests, and their default of 10 s contradicted the documented 30 s.

Change: `parseKey` in package ledger serves both, with the stricter limits; jobs use ShapeRanges; request heads use the settings, default 30 s.

Ruled out: keeping both key grammars with a test that compares them.

Conclusion: one place for each rule.

--- a/core/src/main/kotlin/org/auburnlever/ledger/ApplyClaims.kt
+++ b/core/src/main/kotlin/org/auburnlever/ledger/ApplyClaims.kt
@@ -1,5 +1,7 @@
 package org.auburnlever.ledger
 
+import com.github.michaelbull.result.get
+import com.github.michaelbull.result.getError
 import org.auburnlever.wire.ErrorCode
 import org.auburnlever.wire.Outcome
 
@@ -13,10 +15,10 @@
 
 /** Refuses a key that is malformed, too old or from the future; null when it may be used for the first time. */
 internal fun Transition.refuseKey(key: RequestKey): LedgerReply? {
-    val parsed = CallerKey.parse(key.key)
-    val ageMillis = nowMillis - (parsed?.issuedMillis ?: 0)
+    val parsed = parseKey(key.key)
+    val ageMillis = nowMillis - (parsed.get()?.issuedMillis ?: 0)
     return when {
-        parsed == null -> refused(ErrorCode.BAD_REQUEST, "key must be [<domain>~]<unix seconds>-<text>")
+        parsed.isErr -> refused(ErrorCode.BAD_REQUEST, "key: ${parsed.getError()}")
         ageMillis >= KEY_LIFETIME_MILLIS ->
             LedgerReply.Rejected(Outcome.Unknown(ErrorCode.KEY_EXPIRED, "key was issued more than 24 h ago"))
         ageMillis < -KEY_FUTURE_MILLIS ->
@@ -27,11 +29,13 @@
 
 /** Schedules the removal of the records of [key], which must follow the grammar. */
 internal fun Transition.retainKey(key: RequestKey) {
-    val issuedMillis = checkNotNull(CallerKey.parse(key.key)).issuedMillis
     val item = DueItem.KeyExpiry(key)
-    state = state.copy(retention = state.retention.add(item, issuedMillis + KEY_RETENTION_MILLIS))
+    state = state.copy(retention = state.retention.add(item, issuedMillis(key) + KEY_RETENTION_MILLIS))
 }
 
+/** Time of issue of a key that was accepted before. */
+private fun issuedMillis(key: RequestKey): Long = checkNotNull(parseKey(key.key).get()).issuedMillis
+
 internal fun Transition.claim(command: LedgerCommand.Claim): LedgerReply {
     val existing = state.claims.all[command.key]
     return if (existing == null) firstClaim(command) else repeatedClaim(command, existing)
@@ -65,7 +69,7 @@
         entryHost = command.entryHost,
         attempt = attempt,
         deadlineMillis = deadlineMillis,
-        issuedMillis = checkNotNull(CallerKey.parse(command.key.key)).issuedMillis,
+        issuedMillis = issuedMillis(command.key),
     )
     putClaim(command.key, record)
     if (command.purpose is ClaimPurpose.Request) {
--- a/core/src/main/kotlin/org/auburnlever/ledger/ApplyJobs.kt
+++ b/core/src/main/kotlin/org/auburnlever/ledger/ApplyJobs.kt
@@ -1,18 +1,13 @@
 package org.auburnlever.ledger
 
+import org.auburnlever.configuration.ShapeRanges
 import org.auburnlever.placement.describe
 import org.auburnlever.placement.largestPossible
 import org.auburnlever.wire.ErrorCode
 import org.auburnlever.wire.JobPhase
 import org.auburnlever.wire.JobSpec
 import org.auburnlever.wire.Outcome
-import org.auburnlever.world.Shape
 
-private const val MAX_TASKS = 1_024
-
-/** Far above any real size; sums over all tasks of a gang stay within their number types. */
-private const val MAX_ACCELERATORS = 1_000_000
-private const val MAX_MEMORY_MIB = 1L shl 40
 private const val MAX_ESTIMATE_SECONDS = 10L * 365 * 24 * 3_600
 private const val MAX_PAYLOAD_CHARS = 65_536
 
@@ -70,17 +65,9 @@
     }
 }
 
-private fun invalidField(spec: JobSpec): String? = when {
-    spec.estimatedSeconds !in 0..MAX_ESTIMATE_SECONDS -> "estimatedSeconds"
-    else -> invalidField(spec.shape)
-}
-
-private fun invalidField(shape: Shape): String? = when {
-    shape.taskCount !in 1..MAX_TASKS -> "taskCount"
-    shape.acceleratorsPerTask !in 0..MAX_ACCELERATORS -> "acceleratorsPerTask"
-    shape.coresPerTask < 0 -> "coresPerTask"
-    shape.memoryMiBPerTask !in 0..MAX_MEMORY_MIB -> "memoryMiBPerTask"
-    else -> null
+private fun invalidField(spec: JobSpec): String? {
+    val problem = ShapeRanges.check("shape", spec.shape).firstOrNull()
+    return if (spec.estimatedSeconds in 0..MAX_ESTIMATE_SECONDS) problem?.toString() else "estimatedSeconds"
 }
 
 private fun Transition.refuseSize(command: LedgerCommand.SubmitJob): LedgerReply? {
--- /dev/null
+++ b/core/src/main/kotlin/org/auburnlever/ledger/IssuedKey.kt
@@ -0,0 +1,36 @@
+package org.auburnlever.ledger
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import org.auburnlever.world.DomainName
+
+/**
+ * The parts of a caller's key `[<domain>~]<unix seconds>-<text>`; [pinned] is null when its owner follows from a hash.
+ *
+ * Example: `thies-a~1764820800-mould-7` is pinned to `thies-a` and was issued at 1764820800 s.
+ */
+data class IssuedKey(val pinned: DomainName?, val issuedAtSeconds: Long, val text: String) {
+    /** Time of issue in milliseconds since the Unix epoch. */
+    val issuedMillis: Long get() = issuedAtSeconds * MILLIS_PER_SECOND
+}
+
+/** Parses a caller's key; the error says what does not fit. */
+fun parseKey(key: String): Result<IssuedKey, String> = when {
+    key.length > MAX_KEY_LENGTH -> Err("longer than $MAX_KEY_LENGTH characters")
+    key.any { it !in '!'..'~' } -> Err("only visible ASCII characters are allowed")
+    else -> GRAMMAR.matchEntire(key)?.let { Ok(it.toIssuedKey()) } ?: Err("expected [<domain>~]<unix seconds>-<text>")
+}
+
+private fun MatchResult.toIssuedKey(): IssuedKey {
+    val (domain, seconds, text) = destructured
+    return IssuedKey(domain.takeIf { it.isNotEmpty() }?.let(::DomainName), seconds.toLong(), text)
+}
+
+private const val MILLIS_PER_SECOND = 1_000L
+
+/** Bounds the memory of one claim in the ledger. */
+private const val MAX_KEY_LENGTH = 200
+
+/** At most 11 digits, which hold every second up to the year 5138 and never overflow a Long. */
+private val GRAMMAR = Regex("(?:([A-Za-z0-9._-]+)~)?([0-9]{1,11})-(.+)")
--- a/core/src/test/kotlin/org/auburnlever/routing/KeyOwnerTest.kt
+++ b/core/src/test/kotlin/org/auburnlever/routing/KeyOwnerTest.kt
@@ -2,7 +2,9 @@
 
 import com.github.michaelbull.result.get
 import com.github.michaelbull.result.getError
+import org.auburnlever.ledger.IssuedKey
 import org.auburnlever.ledger.RequestKey
+import org.auburnlever.ledger.parseKey
 import org.auburnlever.world.AccountName
 import org.auburnlever.world.DomainName
 import kotlin.test.Test
--- a/node/src/main/kotlin/org/auburnlever/entry/RequestHead.kt
+++ b/node/src/main/kotlin/org/auburnlever/entry/RequestHead.kt
@@ -19,11 +19,11 @@
 )
 
 /** Reads the headers of a service request; the error is a sentence for the caller. */
-internal fun RequestHeaders.toRequestHead(): Result<RequestHead, String> =
+internal fun RequestHeaders.toRequestHead(timeouts: RequestTimeouts): Result<RequestHead, String> =
     flag(Headers.REPEATABLE, default = true).flatMap { repeatable ->
         flag(Headers.URGENT, default = false).flatMap { urgent ->
             flag(Headers.FIRST_ATTEMPT, default = false).flatMap { firstAttempt ->
-                timeout().flatMap { timeoutMillis ->
+                timeout(timeouts).flatMap { timeoutMillis ->
                     val key = get(Headers.IDEMPOTENCY_KEY)
                     val type = get(HttpHeaderNames.CONTENT_TYPE) ?: DEFAULT_CONTENT_TYPE
                     RequestHead(key, repeatable, urgent, firstAttempt, timeoutMillis, type).withKeyIfNeeded()
@@ -47,13 +47,10 @@
         else -> Err("header $name is '$value', not true or false")
     }
 
-private fun RequestHeaders.timeout(): Result<Long, String> {
-    val value = get(Headers.TIMEOUT_MILLIS) ?: return Ok(DEFAULT_TIMEOUT_MILLIS)
-    val allowed = 1..MAX_TIMEOUT_MILLIS
-    return value.toLongOrNull()?.takeIf { it in allowed }?.let { Ok(it) }
-        ?: Err("header ${Headers.TIMEOUT_MILLIS} is '$value', not a number from 1 to $MAX_TIMEOUT_MILLIS")
+private fun RequestHeaders.timeout(timeouts: RequestTimeouts): Result<Long, String> {
+    val value = get(Headers.TIMEOUT_MILLIS) ?: return Ok(timeouts.defaultMillis)
+    return value.toLongOrNull()?.takeIf { it in 1..timeouts.maxMillis }?.let { Ok(it) }
+        ?: Err("header ${Headers.TIMEOUT_MILLIS} is '$value', not a number from 1 to ${timeouts.maxMillis}")
 }
 
-private const val DEFAULT_TIMEOUT_MILLIS = 30_000L
-private const val MAX_TIMEOUT_MILLIS = 600_000L
 private const val DEFAULT_CONTENT_TYPE = "application/octet-stream"
--- a/node/src/main/kotlin/org/auburnlever/entry/ServiceRequestService.kt
+++ b/node/src/main/kotlin/org/auburnlever/entry/ServiceRequestService.kt
@@ -25,12 +25,13 @@
 import org.auburnlever.world.ServiceName
 import java.util.UUID
 
-/** What the entry services share: the bundle in force, this host's name, the scope of requests and the clock. */
+/** What the entry services share; [scope] runs the requests and [clock] returns monotonic milliseconds. */
 class EntryContext(
     val host: HostName,
     val scope: CoroutineScope,
     val inForce: () -> Bundle?,
     val clock: () -> Long,
+    val timeouts: RequestTimeouts = RequestTimeouts(),
 )
 
 /**
@@ -89,7 +90,7 @@
         return when {
             bundle == null -> refusal(ErrorCode.NO_CONFIGURATION, "no bundle is in force yet")
             account == null -> refusal(ErrorCode.UNAUTHORIZED, "no client account has this token")
-            else -> req.headers().toRequestHead().fold(
+            else -> req.headers().toRequestHead(context.timeouts).fold(
                 success = { run(Arrival(bundle, account, it, context.clock(), whileOpen), ctx, req).toHttpResponse() },
                 failure = { refusal(ErrorCode.BAD_REQUEST, it) },
             )
--- a/node/src/main/kotlin/org/auburnlever/host/HostParts.kt
+++ b/node/src/main/kotlin/org/auburnlever/host/HostParts.kt
@@ -19,6 +19,7 @@
 import org.auburnlever.entry.LedgerReader
 import org.auburnlever.entry.OperatorAccess
 import org.auburnlever.entry.ProposalService
+import org.auburnlever.entry.RequestTimeouts
 import org.auburnlever.entry.RoutingGossip
 import org.auburnlever.entry.RoutingMetrics
 import org.auburnlever.entry.ServiceRequestService
@@ -68,7 +69,9 @@
     private val calls = LeaderCalls(transport, transport, cluster, ::replicas, clock)
     private val ledgers = ClusterLedgerClient(calls) { groups.ledgers[it] }
     private val configuration = ClusterConfigurationClient(calls, groups.configuration, activeBundle)
-    private val context = EntryContext(settings.self.host, base.scope, inForce, clock::nowMillis)
+    private val timeouts =
+        RequestTimeouts(settings.limits.defaultRequestTimeoutMillis, settings.limits.maxRequestTimeoutMillis)
+    private val context = EntryContext(settings.self.host, base.scope, inForce, clock::nowMillis, timeouts)
     private val access = OperatorAccess(Authenticator(inForce), inForce)
     private val gossip =
         GossipSender(transport, groups, cluster, activeBundle, routingGossip, clock)
--- a/node/src/main/kotlin/org/auburnlever/settings/Settings.kt
+++ b/node/src/main/kotlin/org/auburnlever/settings/Settings.kt
@@ -64,6 +64,6 @@
     val shutdownLimitMillis: Long = 30_000,
     val ioThreads: Int = 2,
     val maxHttpConnections: Int = 2_000,
-    val defaultRequestTimeoutMillis: Long = 10_000,
+    val defaultRequestTimeoutMillis: Long = 30_000,
     val maxRequestTimeoutMillis: Long = 600_000,
 )
