--- a/node/src/main/kotlin/org/auburnlever/entry/ConfigurationAnswers.kt
+++ b/node/src/main/kotlin/org/auburnlever/entry/ConfigurationAnswers.kt
@@ -1,7 +1,6 @@
 package org.auburnlever.entry
 
 import com.linecorp.armeria.common.HttpResponse
-import com.linecorp.armeria.common.HttpStatus
 import org.auburnlever.configuration.ConfigurationError
 import org.auburnlever.configuration.ConfigurationReply
 import org.auburnlever.host.SubmitError
@@ -27,7 +26,7 @@
     val message = "the accepted version is ${reply.acceptedVersion}$winner"
     val body =
         ConflictBody(ErrorCode.VERSION_CONFLICT, message, "refused", reply.acceptedVersion, reply.winnerDigestHex)
-    return jsonResponse(ConflictBody.serializer(), body, HttpStatus.CONFLICT)
+    return errorResponse(ConflictBody.serializer(), body, body.code, body.outcome)
 }
 
 /** Answers that a change is refused and has no effect. */
--- a/node/src/main/kotlin/org/auburnlever/entry/HttpAnswers.kt
+++ b/node/src/main/kotlin/org/auburnlever/entry/HttpAnswers.kt
@@ -44,12 +44,20 @@
     return HttpResponse.of(headers, HttpData.wrap(body.toByteArray()))
 }
 
-private fun errorResponse(code: ErrorCode, message: String, outcome: String): HttpResponse {
+private fun errorResponse(code: ErrorCode, message: String, outcome: String): HttpResponse =
+    errorResponse(ErrorBody.serializer(), ErrorBody(code, message, outcome), code, outcome)
+
+/** Answers with [body] and the headers that every error answer has. */
+internal fun <T> errorResponse(
+    serializer: KSerializer<T>,
+    body: T,
+    code: ErrorCode,
+    outcome: String,
+): HttpResponse {
     val headers = ResponseHeaders.builder(HttpStatus.valueOf(code.httpStatus))
         .contentType(MediaType.JSON)
         .add(Headers.OUTCOME, outcome)
         .add(Headers.ERROR_CODE, Codec.json.encodeToString(ErrorCode.serializer(), code).trim('"'))
         .build()
-    val body = Codec.json.encodeToString(ErrorBody.serializer(), ErrorBody(code, message, outcome))
-    return HttpResponse.of(headers, HttpData.ofUtf8(body))
+    return HttpResponse.of(headers, HttpData.ofUtf8(Codec.json.encodeToString(serializer, body)))
 }
--- a/node/src/test/kotlin/org/auburnlever/entry/OperatorServicesTest.kt
+++ b/node/src/test/kotlin/org/auburnlever/entry/OperatorServicesTest.kt
@@ -13,6 +13,7 @@
 import org.auburnlever.host.SubmitError
 import org.auburnlever.wire.ConfigurationChangeView
 import org.auburnlever.wire.ConfigurationView
+import org.auburnlever.wire.Headers
 import org.auburnlever.wire.ProposalBody
 import org.auburnlever.wire.SignOffBody
 import org.auburnlever.world.AccountName
@@ -69,6 +70,8 @@
         assertEquals(409, late.status().code())
         assertContains(late.contentUtf8(), "\"winnerDigestHex\":\"${first.digestHex()}\"")
         assertContains(late.contentUtf8(), "\"code\":\"version_conflict\"")
+        assertEquals("refused", late.headers().get(Headers.OUTCOME))
+        assertEquals("version_conflict", late.headers().get(Headers.ERROR_CODE))
     }
 
     /** Guards against strangers who fill the replicated log. */
