--- a/acceptance/src/test/kotlin/org/auburnlever/acceptance/FaultCluster.kt
+++ b/acceptance/src/test/kotlin/org/auburnlever/acceptance/FaultCluster.kt
@@ -62,9 +62,17 @@
         return deployment.startStandIn(name, "workers", domain, arguments)
     }
 
-    /** Sends a request to the service `tag` through [host]; an answer that never came has no outcome. */
-    fun request(host: String, body: String, headers: Map<String, String> = emptyMap()): HttpAnswer? =
-        context.quietCall(host, AccountCall("POST", "${Paths.SERVICES}/tag/requests", body, headers))
+    /** Sends a request to the service `tag` through [host]; null when no answer came within [limitMillis]. */
+    fun request(
+        host: String,
+        body: String,
+        headers: Map<String, String> = emptyMap(),
+        limitMillis: Long = ANSWER_MILLIS,
+    ): HttpAnswer? {
+        val all = headers + ("authorization" to "Bearer ${context.accountToken.token}")
+        val path = "${Paths.SERVICES}/tag/requests"
+        return HttpCalls.trySend(HttpCall("POST", plan.host(host).address, path, body, all, limitMillis))
+    }
 
     /** What [host] reports, null while it does not answer. */
     fun status(host: String): StatusView? =
@@ -95,6 +103,7 @@
 
     companion object {
         private const val START_MILLIS = 30_000L
+        private const val ANSWER_MILLIS = 15_000L
 
         /** Headers of a request that is not repeatable, with a key of [domain]'s ledger. */
         fun claimed(key: String, first: Boolean, timeoutMillis: Long): Map<String, String> = mapOf(
