Add a latency comparison of an entry host with a direct call

Cause: the latency that one entry host adds had no reproducible measurement.

Ruled out: comparing separate runs, which other load on the machine distorts.

--- /dev/null
+++ b/acceptance/src/main/kotlin/org/auburnlever/acceptance/latency/LatencyComparison.kt
@@ -0,0 +1,74 @@
+package org.auburnlever.acceptance.latency
+
+import org.auburnlever.acceptance.CheckFailedException
+import org.auburnlever.acceptance.ConfigurationSteps
+import org.auburnlever.acceptance.Deployment
+import org.auburnlever.acceptance.Programs
+import org.auburnlever.acceptance.SessionContext
+import org.auburnlever.acceptance.StartSteps
+import org.auburnlever.acceptance.Transcript
+import org.auburnlever.codec.Codec
+import org.auburnlever.standin.LoadReport
+import java.nio.file.Files
+import java.nio.file.Path
+import kotlin.system.exitProcess
+
+/**
+ * Compares a service request through one entry host with a direct call to the same endpoints, in one run, in the folder
+ * that is the first argument.
+ */
+fun main(args: Array<String>) {
+    val deployment = Deployment(Files.createDirectories(Path.of(args.first())))
+    Runtime.getRuntime().addShutdownHook(Thread(deployment::close, "cleanup"))
+    val failure = try {
+        LatencyComparison(deployment).run()
+        null
+    } catch (e: CheckFailedException) {
+        e.message
+    }
+    deployment.close()
+    println(failure ?: "done")
+    exitProcess(if (failure == null) 0 else 1)
+}
+
+/** Measures the time that one entry host adds to a request. */
+private class LatencyComparison(private val deployment: Deployment) {
+    private val context = SessionContext(deployment, Transcript { })
+    private val programs = Programs.find()
+
+    fun run() {
+        val start = StartSteps(context)
+        start.startHosts()
+        ConfigurationSteps(context).accept(version = 1)
+        start.startStandIns()
+        val host = deployment.plan.hosts.first()
+        val local = context.endpoints.first().endpoints().map { it.address }
+        val entry = listOf(host.address)
+        load(entry, direct = false, WARM_UP_REQUESTS)
+        load(local, direct = true, WARM_UP_REQUESTS)
+        repeat(ROUNDS) {
+            print("direct", load(local, direct = true, REQUESTS))
+            print("entry host", load(entry, direct = false, REQUESTS))
+        }
+    }
+
+    private fun load(targets: List<String>, direct: Boolean, requests: Int): LoadReport {
+        val arguments = listOf("--entry", targets.joinToString(",")) +
+            (if (direct) listOf("--direct") else listOf("--service", "tag", "--tokens", context.accountToken.token)) +
+            listOf("--requests", "$requests", "--rate", "$RATE_PER_SECOND", "--json")
+        val output = programs.run("standin", listOf("load") + arguments)
+        return Codec.json.decodeFromString(LoadReport.serializer(), output.lines().last { it.isNotBlank() })
+    }
+
+    private fun print(name: String, report: LoadReport) {
+        val latency = report.all
+        println("$name: ${latency.count} completed, p50 ${latency.p50Millis} ms, p99 ${latency.p99Millis} ms")
+    }
+
+    private companion object {
+        const val WARM_UP_REQUESTS = 2_000
+        const val REQUESTS = 3_000
+        const val RATE_PER_SECOND = 200
+        const val ROUNDS = 2
+    }
+}
