Measure what each role uses: bin/capacity

Cause: the limits of the target size (2.1% of a core, 128 MB, 3 KB/s) had no measurement behind them. Change: a program in the acceptance module starts six hosts on loopback and measures memory, CPU time, link bytes and disk bytes against accounts, endpoints, claims, workers and tasks, with fitted slopes. One worker and one endpoint connect through a relay that counts their bytes. Deployment takes the entry addresses of a stand-in as an argument. Ruled out: rchar and wchar of /proc/PID/io for HTTP bytes, since the epoll transport of Netty uses send and recv, which they don't count.

--- a/acceptance/src/main/kotlin/org/auburnlever/acceptance/Deployment.kt
+++ b/acceptance/src/main/kotlin/org/auburnlever/acceptance/Deployment.kt
@@ -57,10 +57,16 @@
     }
 
     /** Starts a process with stand-in endpoints or workers in [failureDomain]; see `bin/standin --help`. */
-    fun startStandIn(name: String, kind: String, failureDomain: String, arguments: List<String>): StandInControl {
+    fun startStandIn(
+        name: String,
+        kind: String,
+        failureDomain: String,
+        arguments: List<String>,
+        entryAddresses: List<String> = plan.hostsOf(failureDomain).map { it.address },
+    ): StandInControl {
         val portFile = folder.resolve("$name.port")
         Files.deleteIfExists(portFile)
-        val entry = plan.hostsOf(failureDomain).joinToString(",") { it.address }
+        val entry = entryAddresses.joinToString(",")
         val common = listOf(kind, "--entry", entry, "--domain", failureDomain, "--port-file", portFile.toString())
         val child = start(name, "standin", common + arguments)
         val port = await("control port of $name", START_MILLIS, { "(log ${child.log})" }) {
--- /dev/null
+++ b/acceptance/src/main/kotlin/org/auburnlever/acceptance/capacity/Capacity.kt
@@ -0,0 +1,48 @@
+package org.auburnlever.acceptance.capacity
+
+import org.auburnlever.acceptance.CheckFailedException
+import org.auburnlever.acceptance.Deployment
+import java.io.IOException
+import java.nio.file.Files
+import java.nio.file.Path
+import java.util.concurrent.TimeUnit
+import kotlin.concurrent.thread
+import kotlin.system.exitProcess
+
+/**
+ * Measures what a deployment on loopback uses and prints it.
+ *
+ * The first argument is the folder of the deployment, the second `text` or `json`. Progress goes to standard error.
+ * Ends with code 0 only when every point was measured; no process is left behind, also when it is interrupted.
+ */
+fun main(args: Array<String>) {
+    val deployment = Deployment(Files.createDirectories(Path.of(args.first())))
+    Runtime.getRuntime().addShutdownHook(Thread(deployment::close, "cleanup"))
+    endAfterLimit()
+    val failure = measure(deployment, args.last() == "json")
+    deployment.close()
+    failure?.let { System.err.println("capacity failed: $it") }
+    exitProcess(if (failure == null) 0 else 1)
+}
+
+private fun measure(deployment: Deployment, json: Boolean): String? =
+    try {
+        val measurement = CapacityRun(deployment) { System.err.println(it) }.run()
+        println(if (json) measurement.toJson() else measurement.toText())
+        null
+    } catch (e: CheckFailedException) {
+        e.message
+    } catch (e: IOException) {
+        "no answer: $e"
+    }
+
+/** Ends the program when a step hangs; the shutdown hook then ends the deployment. */
+private fun endAfterLimit() {
+    thread(isDaemon = true, name = "time-limit") {
+        TimeUnit.SECONDS.sleep(LIMIT_SECONDS)
+        System.err.println("capacity failed: not done after $LIMIT_SECONDS s")
+        exitProcess(1)
+    }
+}
+
+private const val LIMIT_SECONDS = 350L
--- /dev/null
+++ b/acceptance/src/main/kotlin/org/auburnlever/acceptance/capacity/CountingRelay.kt
@@ -0,0 +1,72 @@
+package org.auburnlever.acceptance.capacity
+
+import org.auburnlever.acceptance.LOOPBACK_ADDRESS
+import java.io.IOException
+import java.io.InputStream
+import java.io.OutputStream
+import java.net.InetAddress
+import java.net.ServerSocket
+import java.net.Socket
+import java.util.concurrent.atomic.AtomicLong
+import kotlin.concurrent.thread
+
+/**
+ * Passes connections on to [targetPort] on loopback and counts the bytes inside them.
+ *
+ * The counts hold HTTP headers and bodies but not the headers of TCP and IP.
+ */
+internal class CountingRelay(private val targetPort: Int) : AutoCloseable {
+    private val server = ServerSocket(0, BACKLOG, InetAddress.getLoopbackAddress())
+    private val sent = AtomicLong()
+    private val received = AtomicLong()
+
+    /** Address for the process whose bytes are counted. */
+    val address: String = "$LOOPBACK_ADDRESS:${server.localPort}"
+
+    /** Bytes that came from the connecting process so far. */
+    val sentBytes: Long get() = sent.get()
+
+    /** Bytes that went to the connecting process so far. */
+    val receivedBytes: Long get() = received.get()
+
+    init {
+        worker { while (!server.isClosed) connect(server.accept()) }
+    }
+
+    override fun close() = server.close()
+
+    private fun connect(client: Socket) {
+        val target = Socket(InetAddress.getLoopbackAddress(), targetPort)
+        worker { copy(client, target, sent) }
+        worker { copy(target, client, received) }
+    }
+
+    private fun copy(from: Socket, to: Socket, counter: AtomicLong) =
+        from.use { to.use { pass(from.getInputStream(), to.getOutputStream(), counter) } }
+
+    private fun pass(input: InputStream, output: OutputStream, counter: AtomicLong) {
+        val buffer = ByteArray(BUFFER_BYTES)
+        var count = input.read(buffer)
+        while (count >= 0) {
+            counter.addAndGet(count.toLong())
+            output.write(buffer, 0, count)
+            count = input.read(buffer)
+        }
+    }
+
+    /** A closed connection ends its threads; the process at the other end sees that itself. */
+    private fun worker(block: () -> Unit) {
+        thread(isDaemon = true, name = "relay") {
+            try {
+                block()
+            } catch (_: IOException) {
+                server.isClosed
+            }
+        }
+    }
+
+    private companion object {
+        const val BACKLOG = 16
+        const val BUFFER_BYTES = 8_192
+    }
+}
--- /dev/null
+++ b/acceptance/src/main/kotlin/org/auburnlever/acceptance/capacity/Slopes.kt
@@ -0,0 +1,34 @@
+package org.auburnlever.acceptance.capacity
+
+private val MEASURES: Map<String, (HostUse) -> Double> = mapOf(
+    "residentMiB" to HostUse::residentMiB,
+    "heapMiB" to HostUse::heapMiB,
+    "cpuPercent" to HostUse::cpuPercent,
+    "linkSentBytes" to HostUse::linkSentBytes,
+    "linkReceivedBytes" to HostUse::linkReceivedBytes,
+    "diskBytes" to HostUse::diskBytes,
+)
+
+/** Fits a line through each measure of each host, for every quantity with at least two sizes. */
+internal fun slopes(points: List<Point>): List<Slope> =
+    points.groupBy { it.quantity }.filterValues { it.size > 1 }.flatMap { (quantity, group) ->
+        group.first().hosts.flatMap { host -> MEASURES.keys.map { slope(quantity, group, host.host, it) } }
+    }
+
+private fun slope(quantity: String, points: List<Point>, host: String, measure: String): Slope {
+    val uses = points.map { point -> point.hosts.first { it.host == host } }
+    val values = uses.map(MEASURES.getValue(measure))
+    val line = fitLine(points.map { it.size.toDouble() }, values)
+    return Slope(quantity, host, uses.last().roles, points.map { it.size }, measure, line.atZero, line.perUnit)
+}
+
+/** A straight line. */
+internal data class Line(val atZero: Double, val perUnit: Double)
+
+/** Returns the line with the least squared distance from the points ([xs], [ys]); the xs must differ. */
+internal fun fitLine(xs: List<Double>, ys: List<Double>): Line {
+    val meanX = xs.average()
+    val meanY = ys.average()
+    val perUnit = xs.zip(ys).sumOf { (x, y) -> (x - meanX) * (y - meanY) } / xs.sumOf { (it - meanX) * (it - meanX) }
+    return Line(meanY - perUnit * meanX, perUnit)
+}
