Tell a lost reply from an owner that can't be reached

Cause: `ClaimFaultsTest` failed once in a full run. An entry host of another failure domain had forwarded a non-repeatable request to a host that was then killed; the stored outcome was `unknown` with `domain_unreachable`, the code that also means that the owner of the key could not be asked. A caller could not tell the stored outcome from one that a resend may still find.

Change: a forwarded request whose reply is lost ends with the new code `reply_lost`.

Ruled out: changing the test's list of codes that say nothing about the stored outcome; the ambiguity was in the interface.

Conclusion: `domain_unreachable` again means only that asking failed.

--- a/core/src/main/kotlin/org/auburnlever/wire/ErrorCode.kt
+++ b/core/src/main/kotlin/org/auburnlever/wire/ErrorCode.kt
@@ -63,6 +63,9 @@
     @SerialName("domain_unreachable")
     DOMAIN_UNREACHABLE(httpStatus = 503),
 
+    @SerialName("reply_lost")
+    REPLY_LOST(httpStatus = 504),
+
     @SerialName("deadline_exceeded")
     DEADLINE_EXCEEDED(httpStatus = 504),
 
--- a/node/src/main/kotlin/org/auburnlever/entry/Forwarder.kt
+++ b/node/src/main/kotlin/org/auburnlever/entry/Forwarder.kt
@@ -70,14 +70,14 @@
         when (reply) {
             is PeerReply.Dispatched -> reply.outcome
             is PeerReply.NotDone -> Outcome.Refused(ErrorCode.DOMAIN_UNREACHABLE, reply.message)
-            is PeerReply.Undecided -> Outcome.Unknown(ErrorCode.DOMAIN_UNREACHABLE, reply.message)
+            is PeerReply.Undecided -> Outcome.Unknown(ErrorCode.REPLY_LOST, reply.message)
             else -> Outcome.Unknown(ErrorCode.INTERNAL, "unexpected reply to a dispatch")
         }
 
     private fun errorOutcome(error: CallError): Outcome =
         when (error) {
             is CallError.NotSent -> Outcome.Refused(ErrorCode.DOMAIN_UNREACHABLE, error.message)
-            is CallError.NoReply -> Outcome.Unknown(ErrorCode.DOMAIN_UNREACHABLE, error.message)
+            is CallError.NoReply -> Outcome.Unknown(ErrorCode.REPLY_LOST, error.message)
         }
 }
 
