Bound the commands that wait for a group

Cause: found by reading. The inbox of a group's decision thread had no bound, so a burst of large answers could exhaust the 40 MB heap.

Change: commands are refused, with no effect, while 4 MiB of them wait.

Measured: a new test fills the queue with 16 commands of 256 KiB, sees the 17th refused and the others decided; a second one restarts a replica and reads what was applied.

Conclusion: overload ends as a certain refusal.

--- a/node/src/main/kotlin/org/auburnlever/host/GroupRunner.kt
+++ b/node/src/main/kotlin/org/auburnlever/host/GroupRunner.kt
@@ -11,6 +11,7 @@
 import org.auburnlever.storage.OpenedLog
 import java.util.concurrent.LinkedBlockingQueue
 import java.util.concurrent.TimeUnit
+import java.util.concurrent.atomic.AtomicLong
 import kotlin.concurrent.thread
 
 /** What a [GroupRunner] needs from its host. */
@@ -37,6 +38,7 @@
     private val clock: HostClock,
 ) {
     private val inbox = LinkedBlockingQueue<GroupInput<S, R>>()
+    private val queuedBytes = AtomicLong()
     private val driver = ReplicaDriver(group, opened, initial, machine, surroundings, clock.nowMillis())
     private var lastTickMillis = 0L
 
@@ -73,10 +75,18 @@
         inbox.add(GroupInput.Replica(input))
     }
 
-    /** Proposes [command]; the result is complete when the command is applied or certainly has no effect. */
+    /**
+     * Proposes [command]; the result is complete when the command is applied or certainly has no effect. It is refused
+     * while commands of more than [MAX_QUEUED_BYTES] wait.
+     */
     fun propose(command: Bytes): CompletableDeferred<Submission<R>> {
         val result = CompletableDeferred<Submission<R>>()
-        inbox.add(GroupInput.Propose(command, result))
+        if (queuedBytes.addAndGet(command.size.toLong()) <= MAX_QUEUED_BYTES) {
+            inbox.add(GroupInput.Propose(command, result))
+        } else {
+            queuedBytes.addAndGet(-command.size.toLong())
+            result.complete(Submission.Refused("too many commands wait for group $group"))
+        }
         return result
     }
 
@@ -106,6 +116,7 @@
         val batch = ArrayList<GroupInput<S, R>>()
         inbox.poll(TICK_MILLIS, TimeUnit.MILLISECONDS)?.let { batch += it }
         inbox.drainTo(batch, MAX_BATCH)
+        queuedBytes.addAndGet(-batch.sumOf { (it as? GroupInput.Propose)?.command?.size?.toLong() ?: 0L })
         return batch
     }
 
@@ -129,6 +140,9 @@
     private companion object {
         const val TICK_MILLIS = 50L
         const val MAX_BATCH = 512
+
+        /** A tenth of the heap; beyond it, a burst of large answers could exhaust the memory of the process. */
+        const val MAX_QUEUED_BYTES = 4L * 1_024 * 1_024
         const val STOP_LIMIT_MILLIS = 2_000L
     }
 }
--- /dev/null
+++ b/node/src/test/kotlin/org/auburnlever/host/GroupRunnerTest.kt
@@ -0,0 +1,95 @@
+package org.auburnlever.host
+
+import com.github.michaelbull.result.getOrThrow
+import kotlinx.coroutines.runBlocking
+import kotlinx.coroutines.withTimeout
+import org.auburnlever.codec.Bytes
+import org.auburnlever.codec.decodeToString
+import org.auburnlever.consensus.Membership
+import org.auburnlever.consensus.ReplicaId
+import org.auburnlever.consensus.ReplicaMessage
+import org.auburnlever.consensus.ReplicaRole
+import org.auburnlever.peer.GroupName
+import org.auburnlever.storage.LogStore
+import org.auburnlever.world.HostName
+import java.nio.file.Files
+import kotlin.test.AfterTest
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertIs
+
+class GroupRunnerTest {
+    private val folder = Files.createTempDirectory("group-runner")
+    private val host = HostName("one")
+    private var runner: GroupRunner<String, Int>? = null
+
+    @AfterTest
+    fun removeFiles() {
+        runner?.stop()
+        folder.toFile().deleteRecursively()
+    }
+
+    /** Guards against commands that are acknowledged and lost with a restart. */
+    @Test
+    fun `an applied command is in the state after a restart`() = runBlocking {
+        LogStore.format(folder, host)
+        val first = start()
+        assertEquals(Submission.Applied(3), untilLeading { first.propose(Bytes.of("abc")).await() })
+        first.stop()
+        val second = start()
+        assertEquals(Submission.Applied("abc"), untilLeading { second.read().await() })
+    }
+
+    /** Guards against a burst of commands that fills the memory of the process. */
+    @Test
+    fun `commands beyond the limit of the queue are refused and have no effect`() = runBlocking {
+        LogStore.format(folder, host)
+        val idle = open()
+        val large = Bytes(ByteArray(LARGE_BYTES))
+        val accepted = (1..FITTING).map { idle.propose(large) }
+        assertIs<Submission.Refused>(idle.propose(large).await())
+        idle.start()
+        accepted.forEach { it.await() }
+        assertIs<Submission.Applied<Int>>(untilLeading { idle.propose(Bytes.of("a")).await() })
+        Unit
+    }
+
+    private fun start(): GroupRunner<String, Int> = open().also { it.start() }
+
+    private fun open(): GroupRunner<String, Int> {
+        val opened = LogStore.open(folder, host).getOrThrow { IllegalStateException(it.message) }
+        val alone = Membership(mapOf(ReplicaId(host, 1) to ReplicaRole.VOTER))
+        return GroupRunner(GroupName("test"), opened, alone, Appending, Failing, HostClock()).also { runner = it }
+    }
+
+    /** A single replica leads after its first election timeout; until then it refuses. */
+    private suspend fun <T> untilLeading(ask: suspend () -> Submission<T>): Submission<T> = withTimeout(WAIT_MILLIS) {
+        var answer = ask()
+        while (answer is Submission.NotLeader) answer = ask()
+        answer
+    }
+
+    /** Appends the text of each command and answers with the length of the whole. */
+    private object Appending : StateMachine<String, Int> {
+        override val initial = ""
+
+        override fun apply(state: String, index: Long, command: Bytes): Applied<String, Int> =
+            (state + command.decodeToString()).let { Applied(it, it.length) }
+
+        override fun encode(state: String) = Bytes.of(state)
+
+        override fun decode(bytes: Bytes) = bytes.decodeToString()
+    }
+
+    private object Failing : GroupSurroundings {
+        override fun send(group: GroupName, from: ReplicaId, to: ReplicaId, message: ReplicaMessage) = Unit
+
+        override fun fail(message: String, cause: Throwable?) = throw IllegalStateException(message, cause)
+    }
+
+    private companion object {
+        const val LARGE_BYTES = 262_144
+        const val FITTING = 16
+        const val WAIT_MILLIS = 10_000L
+    }
+}
