Give the load tool a warm-up and measure the latency of an entry host

Cause: the p99 of `bin/latency` was 79 to 221 ms for direct calls and entry hosts alike, because each load run is a new JVM whose first requests are slow.

Ruled out: a slow entry host; the direct calls showed the same p99.

--- a/acceptance/src/main/kotlin/org/auburnlever/acceptance/latency/LatencyComparison.kt
+++ b/acceptance/src/main/kotlin/org/auburnlever/acceptance/latency/LatencyComparison.kt
@@ -44,8 +44,7 @@
         val host = deployment.plan.hosts.first()
         val local = context.endpoints.first().endpoints().map { it.address }
         val entry = listOf(host.address)
-        load(entry, direct = false, WARM_UP_REQUESTS)
-        load(local, direct = true, WARM_UP_REQUESTS)
+        load(entry, direct = false, REQUESTS)
         repeat(ROUNDS) {
             print("direct", load(local, direct = true, REQUESTS))
             print("entry host", load(entry, direct = false, REQUESTS))
@@ -55,7 +54,8 @@
     private fun load(targets: List<String>, direct: Boolean, requests: Int): LoadReport {
         val arguments = listOf("--entry", targets.joinToString(",")) +
             (if (direct) listOf("--direct") else listOf("--service", "tag", "--tokens", context.accountToken.token)) +
-            listOf("--requests", "$requests", "--rate", "$RATE_PER_SECOND", "--json")
+            listOf("--requests", "${requests + WARM_UP_REQUESTS}", "--warm-up", "$WARM_UP_REQUESTS") +
+            listOf("--rate", "$RATE_PER_SECOND", "--json")
         val output = programs.run("standin", listOf("load") + arguments)
         return Codec.json.decodeFromString(LoadReport.serializer(), output.lines().last { it.isNotBlank() })
     }
@@ -66,7 +66,7 @@
     }
 
     private companion object {
-        const val WARM_UP_REQUESTS = 2_000
+        const val WARM_UP_REQUESTS = 1_000
         const val REQUESTS = 3_000
         const val RATE_PER_SECOND = 200
         const val ROUNDS = 2
--- a/standin/src/main/kotlin/org/auburnlever/standin/LoadCommand.kt
+++ b/standin/src/main/kotlin/org/auburnlever/standin/LoadCommand.kt
@@ -24,6 +24,8 @@
     private val onceShare by option(ArgType.Double, "non-repeatable-share", description = "0 to 1").default(0.0)
     private val timeoutMillis by option(ArgType.Int, "timeout-millis", description = "Timeout of each request")
         .default(DEFAULT_TIMEOUT_MILLIS)
+    private val warmUp by option(ArgType.Int, "warm-up", description = "First requests that are not counted")
+        .default(0)
     private val bodyBytes by option(ArgType.Int, "body-bytes", description = "Size of each request body")
         .default(DEFAULT_BODY_BYTES)
     private val seed by option(ArgType.Int, description = "Seed of the random choices").default(1)
@@ -47,6 +49,7 @@
         nonRepeatableShare = onceShare,
         timeoutMillis = timeoutMillis.toLong(),
         bodyBytes = bodyBytes,
+        warmUpRequests = warmUp,
         seed = seed,
     )
 
--- a/standin/src/main/kotlin/org/auburnlever/standin/LoadRun.kt
+++ b/standin/src/main/kotlin/org/auburnlever/standin/LoadRun.kt
@@ -49,23 +49,28 @@
                 sendOrSkip(index, planned)
             }
         }
-        return recorder.report((System.nanoTime() - start) / NANOS_PER_SECOND)
+        val measuredFrom = start + settings.sendAtNanos(settings.warmUpRequests)
+        return recorder.report((System.nanoTime() - measuredFrom) / NANOS_PER_SECOND)
     }
 
     private fun CoroutineScope.sendOrSkip(index: Int, plannedNanos: Long) {
         val request = settings.request(index, System.currentTimeMillis() / MILLIS_PER_SECOND)
         if (open >= settings.maxOpen) {
-            recorder.add("not sent", request.urgent, 0)
+            record(index, "not sent", request, latencyNanos = 0)
         } else {
             open++
             launch {
                 val kind = kindOf(send(request, index), request)
-                recorder.add(kind, request.urgent, System.nanoTime() - plannedNanos)
+                record(index, kind, request, System.nanoTime() - plannedNanos)
                 open--
             }
         }
     }
 
+    private fun record(index: Int, kind: String, request: LoadRequest, latencyNanos: Long) {
+        if (index >= settings.warmUpRequests) recorder.add(kind, request.urgent, latencyNanos)
+    }
+
     private suspend fun awaitNanos(atNanos: Long) {
         val nanos = atNanos - System.nanoTime()
         // Rounded up: a request that is sent before its planned time could have a negative latency.
--- a/standin/src/main/kotlin/org/auburnlever/standin/LoadSettings.kt
+++ b/standin/src/main/kotlin/org/auburnlever/standin/LoadSettings.kt
@@ -2,7 +2,10 @@
 
 import kotlin.random.Random
 
-/** What the load tool sends. With [direct], requests go to an endpoint itself instead of an entry host. */
+/**
+ * What the load tool sends. With [direct], requests go to an endpoint itself instead of an entry host. The first
+ * [warmUpRequests] are sent and not counted, since a new JVM answers them slowly.
+ */
 internal data class LoadSettings(
     val targets: List<String>,
     val direct: Boolean,
@@ -16,6 +19,7 @@
     val nonRepeatableShare: Double,
     val timeoutMillis: Long,
     val bodyBytes: Int,
+    val warmUpRequests: Int,
     val seed: Int,
 ) {
     /** Time from the start of the run to the sending of request [index]; independent of earlier answers. */
--- a/standin/src/test/kotlin/org/auburnlever/standin/LoadTest.kt
+++ b/standin/src/test/kotlin/org/auburnlever/standin/LoadTest.kt
@@ -24,6 +24,7 @@
         nonRepeatableShare = 0.5,
         timeoutMillis = 1_000,
         bodyBytes = 64,
+        warmUpRequests = 0,
         seed = 7,
     )
 
