--- a/node/src/main/kotlin/org/auburnlever/host/ClusterLedgerClient.kt
+++ b/node/src/main/kotlin/org/auburnlever/host/ClusterLedgerClient.kt
@@ -15,7 +15,7 @@
 /** Reaches ledgers through their replicas on this host or over peer links. */
 internal class ClusterLedgerClient(
     private val calls: LeaderCalls,
-    private val local: (GroupName) -> LedgerGroup?,
+    private val replica: (GroupName) -> LedgerGroup?,
 ) : LedgerClient {
     override suspend fun submit(
         domain: DomainName,
@@ -23,13 +23,8 @@
         timeoutMillis: Long,
     ): Result<LedgerReply, SubmitError> {
         val group = ledgerGroup(domain)
-        val ask = local(group)?.let { ledger -> suspend { ledger.submit(command) } }
-        return calls.ask(
-            LeaderQuestion(group, ask, PeerRequest.SubmitLedger(group, command)) { reply ->
-                decode(reply) { (it as? PeerReply.Ledger)?.reply }
-            },
-            timeoutMillis,
-        )
+        val remote = PeerRequest.SubmitLedger(group, command)
+        return ask(group, timeoutMillis, remote, { it.submit(command) }) { (it as? PeerReply.Ledger)?.reply }
     }
 
     override suspend fun read(
@@ -38,25 +33,29 @@
         timeoutMillis: Long,
     ): Result<String, SubmitError> {
         val group = ledgerGroup(domain)
-        val ask = local(group)?.let { ledger -> suspend { ledger.read(query) } }
-        return calls.ask(
-            LeaderQuestion(group, ask, PeerRequest.ReadLedger(group, query)) { reply ->
-                decode(reply) { (it as? PeerReply.Document)?.json }
-            },
-            timeoutMillis,
-        )
+        val remote = PeerRequest.ReadLedger(group, query)
+        return ask(group, timeoutMillis, remote, { it.read(query) }) { (it as? PeerReply.Document)?.json }
     }
 
     /** Takes a worker's heartbeat to the leader of its ledger. */
     suspend fun heartbeat(heartbeat: WorkerHeartbeat, timeoutMillis: Long): Result<HeartbeatReply, SubmitError> {
         val group = ledgerGroup(heartbeat.failureDomain)
-        val ask = local(group)?.let { ledger -> suspend { ledger.heartbeat(heartbeat).toSubmission() } }
-        return calls.ask(
-            LeaderQuestion(group, ask, PeerRequest.Heartbeat(heartbeat)) { reply ->
-                decode(reply) { (it as? PeerReply.Orders)?.reply }
-            },
-            timeoutMillis,
-        )
+        val remote = PeerRequest.Heartbeat(heartbeat)
+        return ask(group, timeoutMillis, remote, { it.heartbeat(heartbeat).toSubmission() }) {
+            (it as? PeerReply.Orders)?.reply
+        }
+    }
+
+    /** Asks the leader of [group]: with [local] if its replica is on this host, else with [remote]. */
+    private suspend fun <T> ask(
+        group: GroupName,
+        timeoutMillis: Long,
+        remote: PeerRequest,
+        local: suspend (LedgerGroup) -> Submission<T>,
+        answer: (PeerReply) -> T?,
+    ): Result<T, SubmitError> {
+        val askHere = replica(group)?.let { ledger -> suspend { local(ledger) } }
+        return calls.ask(LeaderQuestion(group, askHere, remote) { decode(it, answer) }, timeoutMillis)
     }
 
     private fun HeartbeatReply?.toSubmission(): Submission<HeartbeatReply> =
