Run the whole path on the platform: replicated workload, coordinator, platform adapter

The ledger's job model (one gang in one failure domain, orders in heartbeats) has no place for that.

Change: core/workload (jobs, desired state, planner and coordinator as pure decisions), node/fleet (replica, leader loop, membership by learners, entry host), platform (names, formats and calls). The replica, its storage and the peer links are reused; peers can be added while running.

--- a/core/src/main/kotlin/org/auburnlever/ledger/PersistentSerializers.kt
+++ b/core/src/main/kotlin/org/auburnlever/codec/PersistentSerializers.kt
@@ -1,4 +1,4 @@
-package org.auburnlever.ledger
+package org.auburnlever.codec
 
 import kotlinx.collections.immutable.PersistentList
 import kotlinx.collections.immutable.PersistentMap
--- a/core/src/main/kotlin/org/auburnlever/peer/PeerRequest.kt
+++ b/core/src/main/kotlin/org/auburnlever/peer/PeerRequest.kt
@@ -15,6 +15,8 @@
 import org.auburnlever.wire.WorkerHeartbeat
 import org.auburnlever.world.AccountName
 import org.auburnlever.world.HostName
+import org.auburnlever.workload.FleetAnswer
+import org.auburnlever.workload.FleetCall
 import org.auburnlever.world.ServiceName
 
 /** What one host asks of another. */
@@ -55,6 +57,16 @@
     @SerialName("admit")
     data class Admit(val group: GroupName, val replica: ReplicaId) : PeerRequest
 
+    /** Ask the leader of the workload group. */
+    @Serializable
+    @SerialName("fleet")
+    data class Fleet(val call: FleetCall) : PeerRequest
+
+    /** Name the hosts that keep replicas of the workload group. */
+    @Serializable
+    @SerialName("fleet_members")
+    data object FleetMembers : PeerRequest
+
     /** Send the state dump of the receiver. */
     @Serializable
     @SerialName("dump")
@@ -127,6 +139,16 @@
     @SerialName("bundle")
     data class InForce(val bundle: Bundle?) : PeerReply
 
+    /** Answer of the workload group's leader. */
+    @Serializable
+    @SerialName("fleet")
+    data class Fleet(val answer: FleetAnswer) : PeerReply
+
+    /** Hosts of the workload group. */
+    @Serializable
+    @SerialName("fleet_members")
+    data class FleetMembers(val hosts: List<HostName>) : PeerReply
+
     /** The request had no effect and can be sent to [leader], if known. */
     @Serializable
     @SerialName("not_leader")
--- /dev/null
+++ b/core/src/main/kotlin/org/auburnlever/workload/Resources.kt
@@ -0,0 +1,34 @@
+package org.auburnlever.workload
+
+import kotlinx.serialization.Serializable
+
+/** An amount of processor time, memory and accelerators. */
+@Serializable
+data class Resources(val milliCores: Long, val memoryMiB: Long, val accelerators: Int) {
+    operator fun plus(other: Resources) =
+        Resources(milliCores + other.milliCores, memoryMiB + other.memoryMiB, accelerators + other.accelerators)
+
+    operator fun minus(other: Resources) =
+        Resources(milliCores - other.milliCores, memoryMiB - other.memoryMiB, accelerators - other.accelerators)
+
+    operator fun times(factor: Int) = Resources(milliCores * factor, memoryMiB * factor, accelerators * factor)
+
+    /** Whether [other] fits into this amount. */
+    fun holds(other: Resources): Boolean =
+        other.milliCores <= milliCores && other.memoryMiB <= memoryMiB && other.accelerators <= accelerators
+
+    /** How many times [unit] fits into this amount; a unit of nothing fits without limit. */
+    fun count(unit: Resources): Int {
+        val byCores = times(milliCores, unit.milliCores)
+        val byMemory = times(memoryMiB, unit.memoryMiB)
+        val byAccelerators = times(accelerators.toLong(), unit.accelerators.toLong())
+        return minOf(byCores, byMemory, byAccelerators).coerceIn(0, Int.MAX_VALUE.toLong()).toInt()
+    }
+
+    private fun times(have: Long, need: Long): Long = if (need <= 0) Int.MAX_VALUE.toLong() else have / need
+
+    companion object {
+        /** Nothing. */
+        val NONE = Resources(milliCores = 0, memoryMiB = 0, accelerators = 0)
+    }
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/auburnlever/workload/WorkloadLimits.kt
@@ -0,0 +1,35 @@
+package org.auburnlever.workload
+
+/**
+ * Times that the fleet's protocol sets or leaves to the leader.
+ *
+ * @property leaseMillis how long a worker runs on without a new look; bounds how long a silent worker's tasks block
+ * @property reportMillis interval of the workers' reports
+ * @property jobRetentionMillis how long an ended job's state can be asked for
+ * @property stopMillis longest time that a worker takes for a stop
+ */
+data class WorkloadLimits(
+    val leaseMillis: Long = LEASE_MILLIS,
+    val reportMillis: Long = REPORT_MILLIS,
+    val jobRetentionMillis: Long = JOB_RETENTION_MILLIS,
+    val stopMillis: Long = STOP_MILLIS,
+) {
+    /** Two reports may be lost before a worker gets no new work. */
+    val reportLimitMillis: Long get() = reportMillis * 2 + reportMillis / 2
+
+    /** From an order's sending until its lease has certainly run out: clocks may be 2% slow, and calls take time. */
+    val leaseSafeMillis: Long get() = leaseMillis + leaseMillis * CLOCK_ERROR_PERCENT / PERCENT + CALL_SLACK_MILLIS
+
+    private companion object {
+        /** Three looks of 2 s; a shorter lease would end the work of a worker that is cut off for a moment. */
+        const val LEASE_MILLIS = 6_000L
+        const val REPORT_MILLIS = 1_500L
+        const val JOB_RETENTION_MILLIS = 150_000L
+        const val STOP_MILLIS = 900L
+
+        /** The protocol allows 2%; the rest covers the estimate of the worker's clock. */
+        const val CLOCK_ERROR_PERCENT = 4L
+        const val PERCENT = 100L
+        const val CALL_SLACK_MILLIS = 300L
+    }
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/auburnlever/workload/WorkloadState.kt
@@ -0,0 +1,25 @@
+package org.auburnlever.workload
+
+import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.persistentMapOf
+import kotlinx.serialization.Serializable
+import org.auburnlever.codec.PersistentMapSerializer
+
+/**
+ * Everything that is replicated: the desired state and all jobs.
+ *
+ * @property catalog the desired state in force; null before the first
+ * @property document the desired state as the operator sent it, for reading back
+ * @property nowMillis time of the newest command; never goes backwards
+ */
+@Serializable
+data class WorkloadState(
+    val catalog: Catalog? = null,
+    val document: String? = null,
+    @Serializable(PersistentMapSerializer::class)
+    val jobs: PersistentMap<String, JobRecord> = persistentMapOf(),
+    val nowMillis: Long = 0,
+) {
+    /** Jobs that still run or wait, and ended ones that have tasks at workers. */
+    fun task(id: TaskId): TaskRecord? = jobs[id.job]?.task(id)
+}
--- /dev/null
+++ b/node/src/main/kotlin/org/auburnlever/fleet/ControlHost.kt
@@ -0,0 +1,227 @@
+package org.auburnlever.fleet
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.map
+import com.github.michaelbull.result.mapError
+import com.github.michaelbull.result.onSuccess
+import io.github.oshai.kotlinlogging.KotlinLogging
+import io.micrometer.core.instrument.MeterRegistry
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.isActive
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.runBlocking
+import org.auburnlever.consensus.MembershipChange
+import org.auburnlever.consensus.ReplicaId
+import org.auburnlever.consensus.ReplicaInput
+import org.auburnlever.consensus.ReplicaMessage
+import org.auburnlever.consensus.voters
+import org.auburnlever.host.GroupRunner
+import org.auburnlever.host.GroupSurroundings
+import org.auburnlever.host.GroupView
+import org.auburnlever.host.HostClock
+import org.auburnlever.host.Submission
+import org.auburnlever.peer.GroupName
+import org.auburnlever.peer.PeerMessage
+import org.auburnlever.peer.PeerReply
+import org.auburnlever.peer.PeerRequest
+import org.auburnlever.transport.PeerHandler
+import org.auburnlever.transport.PeerTransport
+import org.auburnlever.transport.SharedKey
+import org.auburnlever.workload.WorkloadReply
+import org.auburnlever.workload.WorkloadState
+import org.auburnlever.world.HostName
+import java.io.IOException
+import java.nio.file.Path
+import java.util.concurrent.CompletableFuture
+
+private val logger = KotlinLogging.logger {}
+
+/**
+ * A host with a disk: keeps a replica of the workload group and, while that leads, schedules the workers.
+ *
+ * ```
+ * val host = ControlHost(settings, workerClient, registry)
+ * host.start()
+ * host.client.ask(FleetCall.ReadCatalog, timeoutMillis = 1_000)
+ * ```
+ */
+class ControlHost(
+    private val settings: FleetSettings,
+    private val workers: WorkerClient,
+    private val registry: MeterRegistry,
+) {
+    private val clock = HostClock()
+    private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
+    private val end = CompletableFuture<Result<Unit, String>>()
+    private val self = FleetPeers.peer(settings.self, settings.peerPort)
+    private val transport = PeerTransport(self, emptyList(), SharedKey(settings.sharedKey), Handler(), registry, ::fault)
+    private val peers = FleetPeers(settings, transport)
+
+    @Volatile
+    private var parts: Parts? = null
+
+    private class Parts(
+        val runner: GroupRunner<WorkloadState, WorkloadReply>,
+        val leader: WorkloadLeader,
+        val answers: FleetAnswers,
+    )
+
+    /** Asks the leader, which may be this host. */
+    val client = FleetClient(
+        transport,
+        peers::members,
+        { call -> parts?.answers?.answer(call) ?: Submission.NotLeader(null) },
+        clock,
+    )
+
+    /** Whether this host knows a leader that it can reach. */
+    val inTouch: Boolean
+        get() = parts?.runner?.view?.leader.let { it != null && (it.host == self.host || it.host in reachable()) }
+
+    /** Opens the log, links to the other hosts and takes part in the group. */
+    fun start(): Result<Unit, String> {
+        val folder = checkNotNull(settings.dataFolder) { "a control host needs a data folder" }
+        return try {
+            openReplica(folder).map { (opened, founders) ->
+                val surroundings = Surroundings()
+                val runner = GroupRunner(WORKLOAD_GROUP, opened, founders, WorkloadMachine, surroundings, clock)
+                val leader = WorkloadLeader(runner, workers, settings.limits, scope, clock, registry)
+                parts = Parts(runner, leader, FleetAnswers(runner, leader))
+                runner.start()
+                runBlocking { transport.start() }
+                settings.founders.forEach(peers::dial)
+                scope.launch { upkeep(runner) }
+                logger.info { "control host ${self.host} started as ${opened.replica}" }
+            }
+        } catch (e: IOException) {
+            Err("can't start: ${e.message}")
+        }
+    }
+
+    /** Begins to dial [hosts], which new settings name. */
+    fun learnHosts(hosts: List<HostName>) = hosts.forEach(peers::dial)
+
+    /** Waits until the host has to stop; the error says why. */
+    fun awaitEnd(): Result<Unit, String> = end.get()
+
+    /** Hands leadership over and stops. */
+    fun shutdown() {
+        parts?.runner?.let { handLeadershipOver(it) }
+        scope.cancel()
+        parts?.runner?.stop()
+        transport.close()
+        end.complete(Ok(Unit))
+    }
+
+    private fun openReplica(folder: Path) =
+        FounderFile(folder).openReplica(settings.self, settings.founders, settings.firstStart).mapError { it.message }
+
+    private fun handLeadershipOver(runner: GroupRunner<WorkloadState, WorkloadReply>) {
+        val view = runner.view
+        val heir = view.peers.filterKeys { it in view.membership.voters }.maxByOrNull { it.value.matchIndex }
+        if (!view.isLeader || heir == null) return
+        logger.info { "handing leadership to ${heir.key}" }
+        runner.feed(ReplicaInput.TransferLeadership(heir.key))
+        val untilMillis = clock.nowMillis() + HAND_OVER_LIMIT_MILLIS
+        while (runner.view.isLeader && clock.nowMillis() < untilMillis) Thread.sleep(HAND_OVER_POLL_MILLIS)
+    }
+
+    private fun reachable() = transport.reachable()
+
+    private suspend fun upkeep(runner: GroupRunner<WorkloadState, WorkloadReply>) {
+        while (scope.isActive) {
+            delay(UPKEEP_MILLIS)
+            val view = runner.view
+            if (view.role == null) {
+                askForAdmission(view.replica)
+            } else {
+                peers.replace(view.membership.roles.keys.map { it.host })
+            }
+            if (view.isLeader) changeVoters(runner, view)
+        }
+    }
+
+    /** A replica that is no member is new or has lost its disk; the leader admits it as a learner. */
+    private suspend fun askForAdmission(replica: ReplicaId) {
+        peers.refresh()
+        val hosts = (peers.members() + settings.founders).distinct().filter { it != self.host }
+        logger.info { "asking $hosts for admission of $replica" }
+        hosts.forEach { host ->
+            transport.call(host, PeerRequest.Admit(WORKLOAD_GROUP, replica), ADMISSION_LIMIT_MILLIS)
+                .onSuccess { if (it is PeerReply.Ok) logger.info { "$replica was admitted by $host" } }
+        }
+    }
+
+    private suspend fun changeVoters(
+        runner: GroupRunner<WorkloadState, WorkloadReply>,
+        view: GroupView<WorkloadState>,
+    ) {
+        val heard = view.peers.mapValues { it.value.heardMillis }
+        val wanted = settings.lostHosts * 2 + 1
+        val change = voterChange(view.membership, view.replica, heard, wanted, clock.nowMillis()) ?: return
+        val result = runner.change(change)
+        logger.info { "membership change $change: $result" }
+    }
+
+    private fun fault(cause: Throwable) = fail("the peer links failed", cause)
+
+    private fun fail(message: String, cause: Throwable?) {
+        logger.error(cause) { message }
+        end.complete(Err(message))
+    }
+
+    private inner class Surroundings : GroupSurroundings {
+        override fun send(group: GroupName, from: ReplicaId, to: ReplicaId, message: ReplicaMessage) =
+            transport.send(to.host, PeerMessage.Consensus(group, from, to, message))
+
+        override fun fail(message: String, cause: Throwable?) = this@ControlHost.fail(message, cause)
+    }
+
+    private inner class Handler : PeerHandler {
+        override fun onConsensus(message: PeerMessage.Consensus) {
+            // A replica that was admitted elsewhere is not dialled yet and could not be answered.
+            peers.dial(message.from.host)
+            parts?.runner?.feed(ReplicaInput.Received(message.from, message.message, message.to))
+        }
+
+        override fun onGossip(gossip: PeerMessage.Gossip) = Unit
+
+        override suspend fun onCall(from: HostName, request: PeerRequest, timeoutMillis: Long): PeerReply {
+            val parts = parts ?: return PeerReply.NotLeader(null)
+            return when (request) {
+                is PeerRequest.Fleet -> parts.answers.answer(request.call).toReply { PeerReply.Fleet(it) }
+                is PeerRequest.Admit -> admit(parts, request)
+                PeerRequest.FleetMembers ->
+                    PeerReply.FleetMembers(parts.runner.view.membership.roles.keys.map { it.host })
+                else -> PeerReply.NotDone("a control host does not answer this call")
+            }
+        }
+
+        private suspend fun admit(parts: Parts, request: PeerRequest.Admit): PeerReply {
+            peers.dial(request.replica.host)
+            return parts.runner.change(MembershipChange.AddLearner(request.replica)).toReply { PeerReply.Ok }
+        }
+    }
+
+    private companion object {
+        const val UPKEEP_MILLIS = 500L
+        const val ADMISSION_LIMIT_MILLIS = 1_000L
+
+        /** A transfer takes one round trip and an election; the others elect without it after 1 s. */
+        const val HAND_OVER_LIMIT_MILLIS = 1_000L
+        const val HAND_OVER_POLL_MILLIS = 20L
+    }
+}
+
+private fun <T> Submission<T>.toReply(applied: (T) -> PeerReply): PeerReply = when (this) {
+    is Submission.Applied -> applied(reply)
+    is Submission.NotLeader -> PeerReply.NotLeader(leader)
+    is Submission.Refused -> PeerReply.NotDone(message)
+    is Submission.Undecided -> PeerReply.Undecided(message)
+}
--- /dev/null
+++ b/node/src/main/kotlin/org/auburnlever/fleet/FleetAnswers.kt
@@ -0,0 +1,60 @@
+package org.auburnlever.fleet
+
+import org.auburnlever.host.GroupRunner
+import org.auburnlever.host.Submission
+import org.auburnlever.workload.FleetAnswer
+import org.auburnlever.workload.FleetCall
+import org.auburnlever.workload.WorkloadCommand
+import org.auburnlever.workload.WorkloadReply
+import org.auburnlever.workload.WorkloadState
+import org.auburnlever.workload.answer
+import org.auburnlever.world.HostName
+
+/** Answers calls on the leader; other replicas name the leader. */
+internal class FleetAnswers(
+    private val runner: GroupRunner<WorkloadState, WorkloadReply>,
+    private val leader: WorkloadLeader,
+) {
+    /** Answers [call] once it is durable, or from a state that is not older than the call. */
+    suspend fun answer(call: FleetCall): Submission<FleetAnswer> {
+        if (!leader.leads) return notLeader()
+        return when (call) {
+            is FleetCall.SubmitJob -> submit(WorkloadCommand.AcceptJob(call.address, call.spec))
+            is FleetCall.CancelJob -> submit(WorkloadCommand.CancelJob(call.address))
+            is FleetCall.ChangeCatalog -> submit(WorkloadCommand.ChangeCatalog(call.catalog, call.document))
+            is FleetCall.ReadJob -> read { it.answer(call) }
+            FleetCall.ReadCatalog -> read { FleetAnswer.Document(it.document) }
+            is FleetCall.ReportWorker -> taken(leader.reported(call.report))
+            is FleetCall.WorkerLeft -> taken(leader.left(call.workerId))
+        }
+    }
+
+    private suspend fun submit(command: WorkloadCommand): Submission<FleetAnswer> =
+        when (val result = leader.submit(command)) {
+            is Submission.Applied -> Submission.Applied(result.reply.toAnswer())
+            is Submission.NotLeader -> result
+            is Submission.Refused -> result
+            is Submission.Undecided -> result
+        }
+
+    private fun WorkloadReply.toAnswer(): FleetAnswer = when (this) {
+        is WorkloadReply.NotAdmitted -> FleetAnswer.NotAdmitted(reason)
+        WorkloadReply.Done, is WorkloadReply.Assigned -> FleetAnswer.Done
+    }
+
+    private suspend fun read(answer: (WorkloadState) -> FleetAnswer): Submission<FleetAnswer> =
+        when (val result = runner.read().await()) {
+            is Submission.Applied -> Submission.Applied(answer(result.reply))
+            is Submission.NotLeader -> result
+            is Submission.Refused -> result
+            is Submission.Undecided -> result
+        }
+
+    private fun taken(taken: Boolean): Submission<FleetAnswer> =
+        if (taken) Submission.Applied(FleetAnswer.Taken(runner.view.replica.host)) else notLeader()
+
+    private fun notLeader() = Submission.NotLeader(runner.view.leader?.host?.takeIf { it != runner.view.replica.host })
+}
+
+/** The leader's host name, when this answer tells it. */
+val FleetAnswer.leader: HostName? get() = (this as? FleetAnswer.Taken)?.leader
--- /dev/null
+++ b/node/src/main/kotlin/org/auburnlever/fleet/FleetClient.kt
@@ -0,0 +1,46 @@
+package org.auburnlever.fleet
+
+import com.github.michaelbull.result.Result
+import org.auburnlever.host.HostClock
+import org.auburnlever.host.LeaderCalls
+import org.auburnlever.host.LeaderQuestion
+import org.auburnlever.host.SubmitError
+import org.auburnlever.host.Submission
+import org.auburnlever.host.decode
+import org.auburnlever.peer.GroupName
+import org.auburnlever.peer.PeerReply
+import org.auburnlever.peer.PeerRequest
+import org.auburnlever.transport.PeerTransport
+import org.auburnlever.workload.FleetAnswer
+import org.auburnlever.workload.FleetCall
+import org.auburnlever.world.HostName
+
+/** Reaches the leader of the workload group from any host. */
+class FleetClient internal constructor(
+    transport: PeerTransport,
+    private val members: () -> List<HostName>,
+    private val local: (suspend (FleetCall) -> Submission<FleetAnswer>)?,
+    clock: HostClock,
+) {
+    private val hint = LeaderHint()
+    private val calls = LeaderCalls(transport, transport, { hint.current }, { members() }, clock)
+
+    /**
+     * Asks the leader, again and again until it answers or [timeoutMillis] are over. Every call is idempotent. The
+     * error says `NotSubmitted` only if the call can't have had an effect.
+     */
+    suspend fun ask(call: FleetCall, timeoutMillis: Long): Result<FleetAnswer, SubmitError> {
+        val askHere = local?.let { answer -> suspend { answer(call).also(::remember) } }
+        val question = LeaderQuestion(WORKLOAD_GROUP, askHere, PeerRequest.Fleet(call)) { reply ->
+            decode(reply) { (it as? PeerReply.Fleet)?.answer }.also(::remember)
+        }
+        return calls.ask(question, timeoutMillis)
+    }
+
+    private fun remember(answer: Submission<FleetAnswer>) {
+        if (answer is Submission.NotLeader) hint.named(answer.leader)
+    }
+}
+
+/** The group that replicates jobs and the desired state. */
+internal val WORKLOAD_GROUP = GroupName("workload")
--- /dev/null
+++ b/node/src/main/kotlin/org/auburnlever/fleet/VoterChange.kt
@@ -0,0 +1,43 @@
+package org.auburnlever.fleet
+
+import org.auburnlever.consensus.Membership
+import org.auburnlever.consensus.MembershipChange
+import org.auburnlever.consensus.ReplicaId
+import org.auburnlever.consensus.ReplicaRole
+import org.auburnlever.consensus.voters
+
+/** A voter that has not answered for this long may be replaced by a learner that does; a restart takes less. */
+internal const val VOTER_LOSS_MILLIS = 8_000L
+
+/**
+ * The next change of the voters, or null if none is due.
+ *
+ * While there are fewer than [wantedVoters], a learner that answers becomes a voter. A voter that has been silent since
+ * before the loss limit makes room for a learner of another host. [heardMillis] tells when each other replica last
+ * answered; replicas without an entry count as silent.
+ */
+internal fun voterChange(
+    membership: Membership,
+    self: ReplicaId,
+    heardMillis: Map<ReplicaId, Long?>,
+    wantedVoters: Int,
+    nowMillis: Long,
+): MembershipChange? {
+    val learners = membership.roles.filterValues { it == ReplicaRole.LEARNER }.keys - membership.promotions.keys
+    val candidate = learners.firstOrNull { answersSince(heardMillis[it], nowMillis - LEARNER_ANSWER_MILLIS) }
+    val silent = membership.voters.firstOrNull { voter ->
+        voter != self && !answersSince(heardMillis[voter], nowMillis - VOTER_LOSS_MILLIS)
+    }
+    return when {
+        candidate == null -> null
+        membership.voters.size < wantedVoters -> MembershipChange.Promote(candidate, ReplicaRole.VOTER)
+        silent != null -> MembershipChange.Remove(silent)
+        else -> null
+    }
+}
+
+private fun answersSince(heardMillis: Long?, sinceMillis: Long): Boolean =
+    heardMillis != null && heardMillis >= sinceMillis
+
+/** Heartbeats go out every 100 ms, so a working learner answers several times in this time. */
+private const val LEARNER_ANSWER_MILLIS = 1_000L
--- /dev/null
+++ b/node/src/main/kotlin/org/auburnlever/fleet/WorkloadLeader.kt
@@ -0,0 +1,195 @@
+package org.auburnlever.fleet
+
+import io.github.oshai.kotlinlogging.KotlinLogging
+import io.micrometer.core.instrument.MeterRegistry
+import io.micrometer.core.instrument.Timer
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.launch
+import org.auburnlever.codec.Codec
+import org.auburnlever.host.GroupRunner
+import org.auburnlever.host.GroupView
+import org.auburnlever.host.HostClock
+import org.auburnlever.host.Submission
+import org.auburnlever.workload.Coordinator
+import org.auburnlever.workload.CoordinatorEffect
+import org.auburnlever.workload.DecisionNote
+import org.auburnlever.workload.ProposalTag
+import org.auburnlever.workload.StampedWorkloadCommand
+import org.auburnlever.workload.WorkerOrder
+import org.auburnlever.workload.WorkerReport
+import org.auburnlever.workload.WorkloadCommand
+import org.auburnlever.workload.WorkloadLimits
+import org.auburnlever.workload.WorkloadReply
+import org.auburnlever.workload.WorkloadState
+import java.util.concurrent.TimeUnit
+
+private val logger = KotlinLogging.logger {}
+
+/**
+ * Runs the [Coordinator] while this host leads the workload group: passes it time and answers, and carries out its
+ * effects.
+ *
+ * All of it happens on the decision thread of [runner]; only orders are sent from [scope].
+ */
+internal class WorkloadLeader(
+    private val runner: GroupRunner<WorkloadState, WorkloadReply>,
+    private val workers: WorkerClient,
+    private val limits: WorkloadLimits,
+    private val scope: CoroutineScope,
+    private val clock: HostClock,
+    private val registry: MeterRegistry,
+) {
+    /** One term as leader; callbacks of an earlier one are dropped. */
+    private class Leadership(val term: Long, val readyIndex: Long) {
+        var coordinator: Coordinator? = null
+        var confirmedMillis = 0L
+        var nextConfirmationMillis = 0L
+        var nextTickMillis = 0L
+        var seenIndex = -1L
+    }
+
+    private var leadership: Leadership? = null
+
+    init {
+        runner.afterBatch = { afterBatch(it) }
+    }
+
+    /** Whether this host leads and has applied all that was committed before its term. */
+    @Volatile
+    var leads = false
+        private set
+
+    /** Submits [command] at this replica. */
+    suspend fun submit(command: WorkloadCommand): Submission<WorkloadReply> = propose(command).await()
+
+    /** Passes [report] on; false if this host does not lead. */
+    suspend fun reported(report: WorkerReport): Boolean = decide { it.reported(report, clock.nowMillis()) }
+
+    /** Passes on that the worker [workerId] ends; false if this host does not lead. */
+    suspend fun left(workerId: String): Boolean = decide { it.left(workerId, clock.nowMillis()) }
+
+    private suspend fun decide(decision: (Coordinator) -> List<CoordinatorEffect>): Boolean {
+        val taken = CompletableDeferred<Boolean>()
+        runner.execute {
+            val current = leadership
+            val coordinator = current?.coordinator
+            if (current != null && coordinator != null) carryOut(current, decision(coordinator))
+            taken.complete(coordinator != null)
+        }
+        return taken.await()
+    }
+
+    private fun propose(command: WorkloadCommand): CompletableDeferred<Submission<WorkloadReply>> =
+        runner.propose(Codec.encode(StampedWorkloadCommand(clock.nowMillis(), command)))
+
+    private fun afterBatch(view: GroupView<WorkloadState>) {
+        val nowMillis = clock.nowMillis()
+        val current = followLeadership(view, nowMillis) ?: return
+        val coordinator = current.coordinator ?: return
+        if (nowMillis >= current.nextConfirmationMillis) confirm(current, nowMillis)
+        val changed = view.appliedIndex != current.seenIndex
+        if (changed) coordinator.changed(nowMillis)
+        if (changed || nowMillis >= current.nextTickMillis) {
+            current.seenIndex = view.appliedIndex
+            current.nextTickMillis = nowMillis + TICK_MILLIS
+            carryOut(current, coordinator.tick(view.state, current.confirmedMillis, nowMillis))
+        }
+    }
+
+    private fun followLeadership(view: GroupView<WorkloadState>, nowMillis: Long): Leadership? {
+        val known = leadership
+        if (!view.isLeader) {
+            if (known != null) logger.info { "leadership of term ${known.term} lost" }
+            leadership = null
+            leads = false
+            return null
+        }
+        val current = known?.takeIf { it.term == view.term } ?: Leadership(view.term, view.lastIndex)
+        leadership = current
+        if (current.coordinator == null && view.appliedIndex >= current.readyIndex) {
+            logger.info { "leading in term ${view.term} from index ${view.appliedIndex}" }
+            current.coordinator = Coordinator(view.term, nowMillis, limits)
+            leads = true
+        }
+        return current
+    }
+
+    /** Asks a majority whether this host still leads; leases are counted from the time of the question. */
+    private fun confirm(current: Leadership, nowMillis: Long) {
+        current.nextConfirmationMillis = nowMillis + CONFIRMATION_INTERVAL_MILLIS
+        val confirmation = runner.read()
+        confirmation.invokeOnCompletion { failure ->
+            val confirmed = failure == null && confirmation.getCompleted() is Submission.Applied
+            if (confirmed) runner.execute { current.confirmedMillis = maxOf(current.confirmedMillis, nowMillis) }
+        }
+    }
+
+    private fun carryOut(current: Leadership, effects: List<CoordinatorEffect>) = effects.forEach { effect ->
+        when (effect) {
+            is CoordinatorEffect.Propose -> carryOut(current, effect)
+            is CoordinatorEffect.Order -> send(current, effect.order)
+            is CoordinatorEffect.Note -> write(effect.note, current.term)
+        }
+    }
+
+    private fun carryOut(current: Leadership, effect: CoordinatorEffect.Propose) {
+        val result = propose(effect.command)
+        result.invokeOnCompletion { runner.execute { proposalEnded(current, effect.tag, result) } }
+    }
+
+    private fun proposalEnded(
+        current: Leadership,
+        tag: ProposalTag,
+        result: CompletableDeferred<Submission<WorkloadReply>>,
+    ) {
+        val coordinator = current.coordinator
+        if (current !== leadership || coordinator == null) return
+        val nowMillis = clock.nowMillis()
+        val submission = result.getCompleted()
+        val effects = if (submission is Submission.Applied) {
+            coordinator.applied(runner.view.state, tag, submission.reply, nowMillis)
+        } else {
+            logger.warn { "a decision was not recorded: $submission" }
+            coordinator.notApplied(tag, nowMillis)
+        }
+        carryOut(current, effects)
+    }
+
+    private fun send(current: Leadership, order: WorkerOrder) {
+        val sentMillis = clock.nowMillis()
+        scope.launch {
+            val answer = workers.send(order)
+            runner.execute {
+                val coordinator = current.coordinator
+                val nowMillis = clock.nowMillis()
+                timer(order).record(nowMillis - sentMillis, TimeUnit.MILLISECONDS)
+                if (current === leadership && coordinator != null) {
+                    val state = runner.view.state
+                    carryOut(current, coordinator.answered(state, order, answer, sentMillis, nowMillis))
+                }
+            }
+        }
+    }
+
+    private fun timer(order: WorkerOrder): Timer = when (order) {
+        is WorkerOrder.Start -> registry.timer("auburn.worker.order", "kind", "start")
+        is WorkerOrder.Stop -> registry.timer("auburn.worker.order", "kind", "stop")
+        is WorkerOrder.Look -> registry.timer("auburn.worker.order", "kind", "look")
+    }
+
+    private fun write(note: DecisionNote, term: Long) {
+        registry.counter("auburn.decisions", "event", note.event).increment()
+        logger.atInfo {
+            message = note.event
+            payload = note.details + mapOf("id" to note.id, "term" to term)
+        }
+    }
+
+    private companion object {
+        const val TICK_MILLIS = 100L
+
+        /** Three questions fit into the time after which an unconfirmed leader stops ordering. */
+        const val CONFIRMATION_INTERVAL_MILLIS = 300L
+    }
+}
--- /dev/null
+++ b/node/src/main/kotlin/org/auburnlever/fleet/WorkloadMachine.kt
@@ -0,0 +1,25 @@
+package org.auburnlever.fleet
+
+import org.auburnlever.codec.Bytes
+import org.auburnlever.codec.Codec
+import org.auburnlever.host.Applied
+import org.auburnlever.host.StateMachine
+import org.auburnlever.workload.StampedWorkloadCommand
+import org.auburnlever.workload.WorkloadReply
+import org.auburnlever.workload.WorkloadState
+import org.auburnlever.workload.apply
+
+/** Jobs and the desired state as the state machine of a replicated group. */
+internal object WorkloadMachine : StateMachine<WorkloadState, WorkloadReply> {
+    override val initial = WorkloadState()
+
+    override fun apply(state: WorkloadState, index: Long, command: Bytes): Applied<WorkloadState, WorkloadReply> {
+        val stamped = Codec.decode<StampedWorkloadCommand>(command)
+        val applied = state.apply(stamped.command, stamped.nowMillis)
+        return Applied(applied.state, applied.reply)
+    }
+
+    override fun encode(state: WorkloadState): Bytes = Codec.encode(state)
+
+    override fun decode(bytes: Bytes): WorkloadState = Codec.decode(bytes)
+}
--- a/node/src/main/kotlin/org/auburnlever/host/GroupView.kt
+++ b/node/src/main/kotlin/org/auburnlever/host/GroupView.kt
@@ -1,6 +1,7 @@
 package org.auburnlever.host
 
 import org.auburnlever.consensus.Membership
+import org.auburnlever.consensus.PeerProgress
 import org.auburnlever.consensus.ReplicaActivity
 import org.auburnlever.consensus.ReplicaId
 import org.auburnlever.consensus.ReplicaRole
@@ -17,6 +18,7 @@
     val commitIndex: Long,
     val lastIndex: Long,
     val membership: Membership,
+    val peers: Map<ReplicaId, PeerProgress> = emptyMap(),
 ) {
     val isLeader: Boolean get() = activity == ReplicaActivity.LEADER
 }
--- a/node/src/main/kotlin/org/auburnlever/host/HostParts.kt
+++ b/node/src/main/kotlin/org/auburnlever/host/HostParts.kt
@@ -66,7 +66,7 @@
     private val dispatcher =
         Dispatcher(routing, forwarder, HttpEndpointClient(base.loops), metrics, inForce, clock::nowMillis)
     private val routingGossip = RoutingGossip(routing, forwarder, dispatcher, domain, clock::nowMillis)
-    private val calls = LeaderCalls(transport, transport, cluster, ::replicas, clock)
+    private val calls = LeaderCalls(transport, transport, { cluster.leader(it)?.leader }, ::replicas, clock)
     private val ledgers = ClusterLedgerClient(calls) { groups.ledgers[it] }
     private val configuration = ClusterConfigurationClient(calls, groups.configuration, activeBundle)
     private val timeouts =
--- a/node/src/main/kotlin/org/auburnlever/host/LeaderCalls.kt
+++ b/node/src/main/kotlin/org/auburnlever/host/LeaderCalls.kt
@@ -31,7 +31,7 @@
 internal class LeaderCalls(
     private val directory: PeerDirectory,
     private val peers: PeerClient,
-    private val cluster: ClusterView,
+    private val knownLeader: (GroupName) -> HostName?,
     private val replicas: (GroupName) -> List<HostName>,
     private val clock: HostClock,
 ) {
@@ -78,7 +78,7 @@
     private fun target(question: LeaderQuestion<*>, search: LeaderSearch): HostName? {
         val usable = directory.reachable() + listOfNotNull(directory.self.host.takeIf { question.local != null })
         val candidates = replicas(question.group).filter { it in usable }
-        val named = listOfNotNull(search.hint, cluster.leader(question.group)?.leader)
+        val named = listOfNotNull(search.hint, knownLeader(question.group))
         return named.firstOrNull { it in usable && it !in search.failedHosts } ?: search.next(candidates)
     }
 
--- a/node/src/main/kotlin/org/auburnlever/host/PeerCalls.kt
+++ b/node/src/main/kotlin/org/auburnlever/host/PeerCalls.kt
@@ -54,6 +54,7 @@
             is PeerRequest.Dispatch -> parts.dispatcher.answer(request)
             is PeerRequest.Heartbeat -> heartbeat(parts, request)
             is PeerRequest.Admit -> admit(parts, request)
+            is PeerRequest.Fleet, PeerRequest.FleetMembers -> PeerReply.NotDone("this host has no workload group")
             PeerRequest.FetchBundle -> PeerReply.InForce(parts.activeBundle.bundle)
             PeerRequest.Dump -> PeerReply.Document(parts.dump.dump().toString())
         }
--- a/node/src/main/kotlin/org/auburnlever/host/ReplicaDriver.kt
+++ b/node/src/main/kotlin/org/auburnlever/host/ReplicaDriver.kt
@@ -14,6 +14,7 @@
 import org.auburnlever.consensus.lastIndex
 import org.auburnlever.consensus.leader
 import org.auburnlever.consensus.membership
+import org.auburnlever.consensus.peers
 import org.auburnlever.consensus.role
 import org.auburnlever.consensus.snapshotDue
 import org.auburnlever.consensus.startReplica
@@ -64,6 +65,7 @@
         commitIndex = replica.commitIndex,
         lastIndex = replica.lastIndex,
         membership = replica.membership,
+        peers = replica.peers,
     )
 
     fun close() = opened.store.close()
--- a/node/src/main/kotlin/org/auburnlever/observe/LogSetup.kt
+++ b/node/src/main/kotlin/org/auburnlever/observe/LogSetup.kt
@@ -1,5 +1,6 @@
 package org.auburnlever.observe
 
+import ch.qos.logback.classic.AsyncAppender
 import ch.qos.logback.classic.Level
 import ch.qos.logback.classic.LoggerContext
 import ch.qos.logback.classic.encoder.JsonEncoder
@@ -12,20 +13,39 @@
 import org.slf4j.Logger
 import org.slf4j.LoggerFactory
 
-/** Replaces the process's log set-up: everything goes to standard error, in the format that [settings] ask for. */
-fun configureLogging(settings: LogSettings) {
+/** Where log lines go. */
+enum class LogOutput(internal val target: String) {
+    STANDARD_OUTPUT("System.out"),
+    STANDARD_ERROR("System.err"),
+}
+
+/**
+ * Replaces the process's log set-up: everything goes to [output], in the format that [settings] ask for.
+ *
+ * A thread of its own writes the lines. While more than [MAX_QUEUED_LINES] wait, further ones are dropped, so that no
+ * decision waits for a reader of the log.
+ */
+fun configureLogging(settings: LogSettings, output: LogOutput = LogOutput.STANDARD_ERROR) {
     val context = LoggerFactory.getILoggerFactory() as LoggerContext
     context.reset()
     val appender = ConsoleAppender<ILoggingEvent>().apply {
         this.context = context
-        name = "standard-error"
-        target = "System.err"
+        name = "console"
+        target = output.target
         encoder = encoder(context, settings.format)
         start()
     }
+    val queue = AsyncAppender().apply {
+        this.context = context
+        name = "queue"
+        queueSize = MAX_QUEUED_LINES
+        isNeverBlock = true
+        addAppender(appender)
+        start()
+    }
     context.getLogger(Logger.ROOT_LOGGER_NAME).apply {
         level = Level.toLevel(settings.level.name)
-        addAppender(appender)
+        addAppender(queue)
     }
     // Libraries report each connection at INFO; their warnings and errors are enough.
     LIBRARIES.forEach { context.getLogger(it).level = Level.WARN }
@@ -51,4 +71,7 @@
         }
     }
 
+/** A burst of one second of decisions; a line takes about 1 KiB of memory. */
+private const val MAX_QUEUED_LINES = 1_024
+
 private val LIBRARIES = listOf("com.linecorp.armeria", "io.netty", "io.ktor", "io.micrometer")
--- a/node/src/main/kotlin/org/auburnlever/transport/PeerTransport.kt
+++ b/node/src/main/kotlin/org/auburnlever/transport/PeerTransport.kt
@@ -14,6 +14,7 @@
 import org.auburnlever.peer.PeerReply
 import org.auburnlever.peer.PeerRequest
 import org.auburnlever.world.HostName
+import java.util.concurrent.CopyOnWriteArrayList
 import java.util.concurrent.Executors
 
 /**
@@ -24,7 +25,7 @@
  */
 class PeerTransport(
     override val self: Peer,
-    override val others: List<Peer>,
+    others: List<Peer>,
     key: SharedKey,
     handler: PeerHandler,
     registry: MeterRegistry,
@@ -39,6 +40,9 @@
     private val handshaker = Handshaker(self.host, key)
     private val listener = LinkListener(self, handshaker, handler, counters)
     private val dialler = LinkDialler(selector, handshaker, counters)
+    private val peers = CopyOnWriteArrayList(others)
+
+    override val others: List<Peer> get() = peers
 
     /** Binds the listener and starts to dial. Throws `IOException` when the address can't be bound. */
     suspend fun start() {
@@ -47,6 +51,14 @@
         others.forEach { peer -> scope.launch { dialler.keepDialling(peer, scope) } }
     }
 
+    /** Begins to dial [peer] after [start], unless it is this host or is dialled already. */
+    @Synchronized
+    fun add(peer: Peer) {
+        if (peer.host == self.host || peers.any { it.host == peer.host }) return
+        peers += peer
+        scope.launch { dialler.keepDialling(peer, scope) }
+    }
+
     override fun reachable(): Set<HostName> = dialler.reachable()
 
     /** Sends [message] to [host] if there is a link; it may be lost. */
--- a/node/src/test/kotlin/org/auburnlever/host/LeaderCallsTest.kt
+++ b/node/src/test/kotlin/org/auburnlever/host/LeaderCallsTest.kt
@@ -66,7 +66,7 @@
     }
 
     private fun submit(peers: FakePeers): Result<LedgerReply, SubmitError> {
-        val calls = LeaderCalls(peers, peers, ClusterView(), { hosts }, HostClock())
+        val calls = LeaderCalls(peers, peers, { null }, { hosts }, HostClock())
         val client = ClusterLedgerClient(calls) { null }
         return runBlocking { client.submit(domain, LedgerCommand.TimePassed, TIMEOUT_MILLIS) }
     }
