--- /dev/null
+++ b/core/src/test/kotlin/org/auburnlever/workload/ApplyWorkloadTest.kt
@@ -0,0 +1,168 @@
+package org.auburnlever.workload
+
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertFalse
+import kotlin.test.assertNull
+import kotlin.test.assertTrue
+
+private const val JOB = "00000000000000a1"
+
+class ApplyWorkloadTest {
+    private val workload = Workload().withCatalog()
+
+    @Test
+    fun `a desired state with a lower or equal version is acknowledged and changes nothing`() {
+        workload.withCatalog(catalog(version = 5))
+        val reply = workload.apply(WorkloadCommand.ChangeCatalog(catalog(version = 5, queues = emptyList()), "other"))
+        workload.withCatalog(catalog(version = 4, queues = emptyList()))
+
+        assertEquals(WorkloadReply.Done, reply)
+        assertEquals("document 5", workload.state.document)
+        assertEquals(2, workload.state.catalog?.queues?.size)
+    }
+
+    @Test
+    fun `a job that arrives twice is one job`() {
+        workload.submit("routine", JOB, step(tasks = 1))
+        workload.assign(JOB, run = 1, workers = mapOf(0 to "1"))
+        workload.submit("routine", JOB, step(tasks = 3))
+
+        assertEquals(1, workload.job(JOB).spec.steps.single().taskCount)
+        assertTrue(workload.job(JOB).started)
+    }
+
+    @Test
+    fun `a call with an unknown key or queue stores nothing`() {
+        val unknownKey = WorkloadCommand.AcceptJob(address("routine", JOB, key = "other"), JobSpec("", listOf(step(1))))
+        val unknownQueue = WorkloadCommand.AcceptJob(address("gone", JOB), JobSpec("", listOf(step(1))))
+
+        assertEquals(WorkloadReply.NotAdmitted(Inadmissible.BAD_KEY), workload.apply(unknownKey))
+        assertEquals(WorkloadReply.NotAdmitted(Inadmissible.NO_QUEUE), workload.apply(unknownQueue))
+        assertTrue(workload.state.jobs.isEmpty())
+    }
+
+    @Test
+    fun `a task that is assigned is not assigned again`() {
+        workload.submit("routine", JOB, step(tasks = 1))
+        workload.assign(JOB, run = 1, workers = mapOf(0 to "1"))
+
+        val second = workload.assign(JOB, run = 2, workers = mapOf(0 to "2"))
+
+        assertEquals(WorkloadReply.Assigned(emptyList()), second)
+        assertEquals("1", workload.job(JOB).task(TaskId(JOB, 0, 0, 0))?.worker?.id)
+    }
+
+    @Test
+    fun `a step is assigned only after all steps that it depends on are done`() {
+        workload.submit("routine", JOB, step(tasks = 2), step(tasks = 1, dependsOn = listOf(0)))
+        workload.assign(JOB, run = 1, workers = mapOf(0 to "1", 1 to "1"))
+        workload.end(JOB, index = 0, run = 1, kind = EndKind.DONE)
+
+        assertEquals(WorkloadReply.Assigned(emptyList()), workload.assign(JOB, 1, mapOf(0 to "1"), step = 1))
+        workload.end(JOB, index = 1, run = 1, kind = EndKind.DONE)
+        assertTrue((workload.assign(JOB, 1, mapOf(0 to "1"), step = 1) as WorkloadReply.Assigned).runs.isNotEmpty())
+    }
+
+    @Test
+    fun `a job succeeds only when every task has ended as done`() {
+        workload.submit("routine", JOB, step(tasks = 2))
+        workload.assign(JOB, run = 1, workers = mapOf(0 to "1", 1 to "2"))
+        workload.end(JOB, index = 0, run = 1, kind = EndKind.DONE)
+        assertEquals(JobStatus.RUNNING, workload.job(JOB).status())
+
+        workload.end(JOB, index = 1, run = 1, kind = EndKind.DONE)
+        assertEquals(JobStatus.SUCCEEDED, workload.job(JOB).status())
+    }
+
+    @Test
+    fun `an end of an earlier run does not touch the present one`() {
+        workload.submit("routine", JOB, step(tasks = 1))
+        workload.assign(JOB, run = 1, workers = mapOf(0 to "1"))
+        workload.end(JOB, index = 0, run = 1, kind = EndKind.LOST)
+        workload.assign(JOB, run = 2, workers = mapOf(0 to "2"))
+
+        workload.end(JOB, index = 0, run = 1, kind = EndKind.DONE)
+
+        assertEquals(JobStatus.RUNNING, workload.job(JOB).status())
+    }
+
+    @Test
+    fun `one end as done stands for all members of a gang`() {
+        workload.submit("routine", JOB, step(tasks = 3, gang = true))
+        workload.assign(JOB, run = 1, workers = mapOf(0 to "1", 1 to "2", 2 to "3"))
+        workload.end(JOB, index = 1, run = 1, kind = EndKind.DONE)
+
+        assertEquals(JobStatus.SUCCEEDED, workload.job(JOB).status())
+    }
+
+    @Test
+    fun `a gang that failed with several members has used one attempt`() {
+        workload.withCatalog(catalog(version = 2, queues = listOf(queue("routine", 2, maxAttempts = 2))))
+        workload.submit("routine", JOB, step(tasks = 2, gang = true))
+        workload.assign(JOB, run = 1, workers = mapOf(0 to "1", 1 to "2"))
+        workload.end(JOB, index = 0, run = 1, kind = EndKind.FAILED)
+        workload.end(JOB, index = 1, run = 1, kind = EndKind.FAILED)
+        assertEquals(JobPhase.ACTIVE, workload.job(JOB).phase)
+
+        workload.assign(JOB, run = 2, workers = mapOf(0 to "1", 1 to "2"))
+        workload.end(JOB, index = 0, run = 2, kind = EndKind.FAILED)
+        assertEquals(JobPhase.FAILED, workload.job(JOB).phase)
+    }
+
+    @Test
+    fun `a checkpoint of one member is the checkpoint of the whole gang`() {
+        workload.submit("routine", JOB, step(tasks = 2, gang = true))
+        workload.assign(JOB, run = 1, workers = mapOf(0 to "1", 1 to "2"))
+        workload.end(JOB, index = 0, run = 1, kind = EndKind.STOPPED, checkpoint = "c7")
+
+        val checkpoints = workload.job(JOB).step(StepId(JOB, 0, 0))?.tasks?.map { it.checkpoint }
+        assertEquals(listOf("c7", "c7"), checkpoints)
+    }
+
+    @Test
+    fun `lost and stopped runs are not failures`() {
+        workload.withCatalog(catalog(version = 2, queues = listOf(queue("routine", 2, maxAttempts = 1))))
+        workload.submit("routine", JOB, step(tasks = 1))
+        workload.assign(JOB, run = 1, workers = mapOf(0 to "1"))
+        workload.end(JOB, index = 0, run = 1, kind = EndKind.LOST)
+        workload.assign(JOB, run = 2, workers = mapOf(0 to "1"))
+        workload.end(JOB, index = 0, run = 2, kind = EndKind.STOPPED)
+        assertEquals(JobPhase.ACTIVE, workload.job(JOB).phase)
+    }
+
+    @Test
+    fun `a canceled job gets no further task and stays canceled when a run ends as done`() {
+        workload.submit("routine", JOB, step(tasks = 1))
+        workload.assign(JOB, run = 1, workers = mapOf(0 to "1"))
+        workload.apply(WorkloadCommand.CancelJob(address("routine", JOB)))
+        workload.end(JOB, index = 0, run = 1, kind = EndKind.DONE)
+
+        assertEquals(JobStatus.CANCELED, workload.job(JOB).status())
+    }
+
+    @Test
+    fun `an ended job is forgotten after its retention but not while a task is assigned`() {
+        workload.submit("routine", JOB, step(tasks = 1))
+        workload.assign(JOB, run = 1, workers = mapOf(0 to "1"))
+        workload.apply(WorkloadCommand.CancelJob(address("routine", JOB)))
+        workload.apply(WorkloadCommand.ForgetJobs(endedBeforeMillis = 10_000))
+        assertTrue(JOB in workload.state.jobs)
+
+        workload.end(JOB, index = 0, run = 1, kind = EndKind.STOPPED)
+        workload.apply(WorkloadCommand.ForgetJobs(endedBeforeMillis = 10_000))
+        assertFalse(JOB in workload.state.jobs)
+    }
+
+    @Test
+    fun `a snapshot holds the whole state`() {
+        workload.submit("routine", JOB, step(tasks = 2, gang = true), step(tasks = 1, dependsOn = listOf(0)))
+        workload.assign(JOB, run = 1, workers = mapOf(0 to "1", 1 to "2"))
+
+        val decoded = org.auburnlever.codec.Codec.decode<WorkloadState>(
+            org.auburnlever.codec.Codec.encode(workload.state),
+        )
+        assertEquals(workload.state, decoded)
+        assertNull(decoded.jobs["other"])
+    }
+}
--- /dev/null
+++ b/core/src/test/kotlin/org/auburnlever/workload/CoordinatorTest.kt
@@ -0,0 +1,196 @@
+package org.auburnlever.workload
+
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertNotNull
+import kotlin.test.assertTrue
+
+private const val TERM = 7L
+private const val JOB = "00000000000000a1"
+
+class CoordinatorTest {
+    private val limits = WorkloadLimits()
+    private val workload = Workload(nowMillis = 10_000).withCatalog()
+    private val coordinator = Coordinator(TERM, electedMillis = 10_000, limits)
+    private val orders = ArrayList<WorkerOrder>()
+
+    /** Carries out proposals at once and collects orders, as the driver of a group of one would. */
+    private fun run(effects: List<CoordinatorEffect>) {
+        effects.forEach { effect ->
+            when (effect) {
+                is CoordinatorEffect.Order -> orders += effect.order
+                is CoordinatorEffect.Note -> Unit
+                is CoordinatorEffect.Propose -> {
+                    val reply = workload.apply(effect.command)
+                    run(coordinator.applied(workload.state, effect.tag, reply, workload.nowMillis))
+                }
+            }
+        }
+    }
+
+    private fun tick(afterMillis: Long = 100, confirmedAgoMillis: Long = 0) {
+        workload.nowMillis += afterMillis
+        run(coordinator.tick(workload.state, workload.nowMillis - confirmedAgoMillis, workload.nowMillis))
+    }
+
+    private fun answer(order: WorkerOrder, answer: OrderAnswer, sentAgoMillis: Long = 10) = run(
+        coordinator.answered(workload.state, order, answer, workload.nowMillis - sentAgoMillis, workload.nowMillis),
+    )
+
+    private inline fun <reified T : WorkerOrder> take(): T {
+        val order = assertNotNull(orders.filterIsInstance<T>().firstOrNull(), "no order of this kind in $orders")
+        orders -= order
+        return order
+    }
+
+    private fun listed(active: List<ActiveRun> = emptyList(), ended: List<NumberedEnd> = emptyList()) =
+        OrderAnswer.Listed(clockMillis = 100_100, bornMillis = 1, active, ended)
+
+    private fun startJob(spec: StepSpec = step(tasks = 1)): WorkerOrder.Start {
+        run(coordinator.reported(report("1"), workload.nowMillis))
+        workload.submit("routine", JOB, spec)
+        tick(afterMillis = 1_000)
+        return take()
+    }
+
+    @Test
+    fun `a start carries the term and is ordered only after its assignment is recorded`() {
+        val start = startJob()
+
+        assertEquals(TERM, start.fencingToken)
+        assertEquals(TaskPhase.ASSIGNED, workload.state.task(start.run.task)?.phase)
+    }
+
+    @Test
+    fun `an end is acknowledged to the worker only after it is recorded`() {
+        val start = startJob()
+        answer(start, OrderAnswer.Done(clockMillis = 100_050))
+        answer(take<WorkerOrder.Look>(), listed())
+        tick()
+        orders.clear()
+        tick()
+        val end = NumberedEnd(4, RunEnd(start.run, EndKind.DONE, ""))
+        val look = WorkerOrder.Look(start.worker, TERM, 0, deadlineMillis = null, waitMillis = 0)
+        answer(look, listed(ended = listOf(end)))
+        tick()
+
+        assertEquals(4, take<WorkerOrder.Look>().acknowledgedEnd)
+        assertEquals(JobPhase.SUCCEEDED, workload.job(JOB).phase)
+    }
+
+    @Test
+    fun `an unanswered start that is not listed is stopped before its task starts elsewhere`() {
+        val start = startJob()
+        val firstLook = take<WorkerOrder.Look>()
+        answer(start, OrderAnswer.Unknown("no answer"))
+        answer(firstLook, listed())
+        tick(afterMillis = 2_000)
+        val look = take<WorkerOrder.Look>()
+        answer(look, listed())
+        val stop = take<WorkerOrder.Stop>()
+        assertEquals(TaskPhase.ASSIGNED, workload.state.task(start.run.task)?.phase)
+
+        answer(stop, OrderAnswer.Done(clockMillis = 102_000))
+        tick(afterMillis = 400)
+        answer(take<WorkerOrder.Look>(), listed())
+        assertEquals(TaskPhase.WAITING, workload.state.task(start.run.task)?.phase)
+    }
+
+    @Test
+    fun `a silent worker's run is given up only after its lease has run out for certain`() {
+        val start = startJob()
+        answer(start, OrderAnswer.Done(clockMillis = 100_050))
+        val sentMillis = workload.nowMillis
+        answer(take<WorkerOrder.Look>(), OrderAnswer.Unknown("silent"))
+        while (workload.nowMillis < sentMillis + limits.leaseSafeMillis - 500) {
+            tick(afterMillis = 300)
+            orders.filterIsInstance<WorkerOrder.Look>().forEach { answer(it, OrderAnswer.Unknown("silent")) }
+            orders.clear()
+        }
+        assertEquals(TaskPhase.ASSIGNED, workload.state.task(start.run.task)?.phase)
+
+        tick(afterMillis = 600)
+        assertEquals(TaskPhase.WAITING, workload.state.task(start.run.task)?.phase)
+    }
+
+    @Test
+    fun `a leader that was not confirmed lately orders nothing`() {
+        run(coordinator.reported(report("1"), workload.nowMillis))
+        workload.submit("routine", JOB, step(tasks = 1))
+        tick(afterMillis = 1_000, confirmedAgoMillis = 1_500)
+
+        assertTrue(orders.isEmpty())
+    }
+
+    @Test
+    fun `no work goes to a worker that leaves, and a late report does not bring it back`() {
+        run(coordinator.reported(report("1", draining = true, sequence = 5), workload.nowMillis))
+        run(coordinator.reported(report("1", draining = false, sequence = 4), workload.nowMillis))
+        workload.submit("routine", JOB, step(tasks = 1))
+        tick(afterMillis = 1_000)
+
+        assertTrue(orders.none { it is WorkerOrder.Start })
+    }
+
+    @Test
+    fun `runs of a canceled job are stopped, again until their end is listed`() {
+        val start = startJob()
+        answer(start, OrderAnswer.Done(clockMillis = 100_050))
+        workload.apply(WorkloadCommand.CancelJob(address("routine", JOB)))
+        tick()
+        assertEquals(start.run, take<WorkerOrder.Stop>().run)
+
+        tick(afterMillis = 1_100)
+        assertEquals(start.run, take<WorkerOrder.Stop>().run)
+    }
+
+    @Test
+    fun `a gang that lost a member is stopped before it starts again`() {
+        val start = startJob(step(tasks = 2, gang = true))
+        val other = take<WorkerOrder.Start>()
+        answer(start, OrderAnswer.Done(clockMillis = 100_050))
+        answer(other, OrderAnswer.Refused(RefusalReason.NO_ROOM))
+        tick()
+
+        assertEquals(start.run, take<WorkerOrder.Stop>().run)
+        assertTrue(orders.none { it is WorkerOrder.Start })
+    }
+
+    @Test
+    fun `a new leader adopts assignments and gives up those of a worker that it never reaches`() {
+        workload.submit("routine", JOB, step(tasks = 1))
+        workload.assign(JOB, run = 1, workers = mapOf(0 to "9"))
+        tick()
+        answer(take<WorkerOrder.Look>(), OrderAnswer.Unknown("cut off"))
+        tick(afterMillis = limits.leaseSafeMillis - 300)
+        assertEquals(TaskPhase.ASSIGNED, workload.state.task(TaskId(JOB, 0, 0, 0))?.phase)
+
+        tick(afterMillis = 400)
+        assertEquals(TaskPhase.WAITING, workload.state.task(TaskId(JOB, 0, 0, 0))?.phase)
+    }
+
+    @Test
+    fun `runs of a worker's earlier life are given up at once`() {
+        val start = startJob()
+        answer(start, OrderAnswer.Done(clockMillis = 100_050))
+        run(coordinator.reported(report("1", born = 2), workload.nowMillis))
+        tick()
+
+        assertEquals(TaskPhase.WAITING, workload.state.task(start.run.task)?.phase)
+    }
+
+    @Test
+    fun `a worker on which two jobs failed in a row gets no work for a while`() {
+        val start = startJob()
+        answer(start, OrderAnswer.Done(clockMillis = 100_050))
+        val look = take<WorkerOrder.Look>()
+        val ends = listOf("x", "y").mapIndexed { index, job ->
+            NumberedEnd(index + 1L, RunEnd(TaskRun(TaskId(job, 0, 0, 0), 1), EndKind.FAILED, ""))
+        }
+        answer(look, listed(active = listOf(ActiveRun(start.run, "", 5)), ended = ends))
+        workload.submit("routine", "00000000000000a2", step(tasks = 1))
+        tick(afterMillis = 500)
+
+        assertTrue(orders.none { it is WorkerOrder.Start })
+    }
+}
--- /dev/null
+++ b/core/src/test/kotlin/org/auburnlever/workload/Fixtures.kt
@@ -0,0 +1,82 @@
+package org.auburnlever.workload
+
+import org.auburnlever.world.AccountName
+import org.auburnlever.world.DomainName
+import org.auburnlever.world.ServiceName
+
+internal val SERVICE = ServiceName("tag")
+
+internal fun queue(name: String, priority: Int, maxAttempts: Int = 3) = Queue(
+    name = name,
+    host = "jobs.example",
+    pathPrefix = "/$name/",
+    service = SERVICE,
+    public = false,
+    policy = QueuePolicy(priority, maxAttempts, stretch = 2.0, targetLatencyMillis = 1_000),
+)
+
+internal fun catalog(version: Long = 1, queues: List<Queue> = listOf(queue("urgent", 0), queue("routine", 2))) = Catalog(
+    version = version,
+    queues = queues,
+    services = listOf(CatalogService(SERVICE, enforcesCapacity = true)),
+    accounts = listOf(Account(AccountName("pier"), listOf("key-1"), guaranteedAccelerators = 8)),
+)
+
+internal fun address(queue: String, id: String, key: String? = "key-1") = JobAddress("jobs.example", "/$queue/$id", key)
+
+internal fun step(
+    tasks: Int,
+    accelerators: Int = 1,
+    gang: Boolean = false,
+    rackSensitive: Boolean = false,
+    dependsOn: List<Int> = emptyList(),
+) = StepSpec(
+    taskCount = tasks,
+    need = Resources(milliCores = 1_000, memoryMiB = 1_000, accelerators = accelerators),
+    estimatedMillis = 2_000,
+    dependsOn = dependsOn,
+    gang = gang,
+    rackSensitive = rackSensitive,
+)
+
+internal fun ref(id: String) = WorkerRef(id, bornMillis = 1, address = "10.0.0.1:$id")
+
+internal fun report(id: String, rack: String = "r1", draining: Boolean = false, sequence: Long = 1, born: Long = 1) =
+    WorkerReport(
+        ref = ref(id).copy(bornMillis = born),
+        service = SERVICE,
+        failureDomain = DomainName("a"),
+        draining = draining,
+        capacity = Resources(milliCores = 128_000, memoryMiB = 512_000, accelerators = 8),
+        labels = listOf("k", rack),
+        clockMillis = 100_000,
+        sequence = sequence,
+    )
+
+/** A workload state that is changed by commands one after another. */
+internal class Workload(var nowMillis: Long = 1_000) {
+    var state = WorkloadState()
+        private set
+
+    fun apply(command: WorkloadCommand): WorkloadReply {
+        val applied = state.apply(command, nowMillis)
+        state = applied.state
+        return applied.reply
+    }
+
+    fun withCatalog(catalog: Catalog = catalog()) = apply {
+        apply(WorkloadCommand.ChangeCatalog(catalog, "document ${catalog.version}"))
+    }
+
+    fun submit(queue: String, id: String, vararg steps: StepSpec) =
+        apply(WorkloadCommand.AcceptJob(address(queue, id), JobSpec("payload", steps.toList())))
+
+    fun assign(job: String, run: Int, workers: Map<Int, String>, step: Int = 0) = apply(
+        WorkloadCommand.Assign(listOf(Assignment(StepId(job, 0, step), run, workers.mapValues { ref(it.value) }))),
+    )
+
+    fun end(job: String, index: Int, run: Int, kind: EndKind, checkpoint: String = "", step: Int = 0) =
+        apply(WorkloadCommand.RecordEnds(listOf(RunEnd(TaskRun(TaskId(job, 0, step, index), run), kind, checkpoint))))
+
+    fun job(id: String): JobRecord = state.jobs.getValue(id)
+}
--- /dev/null
+++ b/core/src/test/kotlin/org/auburnlever/workload/WorkPlanTest.kt
@@ -0,0 +1,105 @@
+package org.auburnlever.workload
+
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+
+class WorkPlanTest {
+    private val workload = Workload().withCatalog()
+
+    private fun plan(workers: List<WorkerReport>, stopping: Set<TaskRun> = emptySet()): WorkPlan {
+        val views = workers.map { WorkerView(it.ref, it, heardMillis = workload.nowMillis) }
+        return planWork(workload.state.jobs.values, views, stopping, workload.nowMillis)
+    }
+
+    private fun record(plan: WorkPlan) = workload.apply(WorkloadCommand.Assign(plan.assignments))
+
+    @Test
+    fun `a gang starts whole or not at all`() {
+        workload.submit("routine", "a", step(tasks = 3, accelerators = 8, gang = true))
+
+        assertTrue(plan(listOf(report("1"), report("2"))).assignments.isEmpty())
+        assertEquals(3, plan(listOf(report("1"), report("2"), report("3"))).assignments.single().workers.size)
+    }
+
+    @Test
+    fun `a rack-sensitive gang takes one rack, although another worker is free sooner`() {
+        workload.submit("routine", "a", step(tasks = 2, accelerators = 8, gang = true, rackSensitive = true))
+        val workers = listOf(report("1", "r1"), report("2", "r2"), report("3", "r2"))
+
+        assertEquals(setOf("2", "3"), plan(workers).assignments.single().workers.values.map { it.id }.toSet())
+    }
+
+    @Test
+    fun `a gang that is wider than every rack is spread instead of waiting for ever`() {
+        workload.submit("routine", "a", step(tasks = 3, accelerators = 8, gang = true, rackSensitive = true))
+        val workers = listOf(report("1", "r1"), report("2", "r2"), report("3", "r2"))
+
+        assertEquals(3, plan(workers).assignments.single().workers.size)
+    }
+
+    @Test
+    fun `small tasks fill a worker that is in use before they break up an empty one`() {
+        workload.submit("routine", "a", step(tasks = 1, accelerators = 2))
+        record(plan(listOf(report("2"))))
+        workload.submit("routine", "b", step(tasks = 2, accelerators = 2))
+
+        val placed = plan(listOf(report("1"), report("2"))).assignments.single().workers.values
+        assertEquals(setOf("2"), placed.map { it.id }.toSet())
+    }
+
+    @Test
+    fun `an urgent gang displaces the cheapest routine work and keeps the room until that has stopped`() {
+        workload.submit("routine", "old", step(tasks = 1, accelerators = 8))
+        record(plan(listOf(report("1"))))
+        workload.nowMillis += 5_000
+        workload.submit("routine", "new", step(tasks = 1, accelerators = 8))
+        record(plan(listOf(report("1"), report("2"))))
+        workload.submit("urgent", "now", step(tasks = 1, accelerators = 8, gang = true))
+        workload.submit("routine", "next", step(tasks = 1, accelerators = 8))
+
+        val workers = listOf(report("1"), report("2"))
+        val first = plan(workers)
+        val victim = TaskRun(TaskId("new", 0, 0, 0), run = 1)
+        assertEquals(listOf(victim), first.displaced)
+        assertTrue(first.assignments.isEmpty())
+
+        val second = plan(workers, stopping = setOf(victim))
+        assertTrue(second.displaced.isEmpty())
+
+        workload.end("new", index = 0, run = 1, kind = EndKind.STOPPED)
+        assertEquals("now", plan(workers, setOf(victim)).assignments.first().step.job)
+    }
+
+    @Test
+    fun `a gang is displaced whole`() {
+        workload.submit("routine", "gang", step(tasks = 2, accelerators = 4, gang = true))
+        record(plan(listOf(report("1"))))
+        workload.submit("urgent", "now", step(tasks = 1, accelerators = 4))
+
+        assertEquals(2, plan(listOf(report("1"))).displaced.size)
+    }
+
+    @Test
+    fun `urgent work displaces no urgent work`() {
+        workload.submit("urgent", "a", step(tasks = 1, accelerators = 8))
+        record(plan(listOf(report("1"))))
+        workload.submit("urgent", "b", step(tasks = 1, accelerators = 8))
+
+        assertTrue(plan(listOf(report("1"))).displaced.isEmpty())
+    }
+
+    @Test
+    fun `tasks of a step are spread as its limit for a worker asks`() {
+        workload.submit("routine", "a", step(tasks = 3).copy(maxTasksPerWorker = 1))
+
+        assertEquals(2, plan(listOf(report("1"), report("2"))).assignments.single().workers.size)
+    }
+
+    @Test
+    fun `a step with a constraint goes to workers with the label only`() {
+        workload.submit("routine", "a", step(tasks = 1).copy(constraint = "x"))
+
+        assertTrue(plan(listOf(report("1"))).assignments.isEmpty())
+    }
+}
