Wait for a stopping run's end before its room and its task are given away

A run that is being stopped is not in a worker's list of active runs, yet takes room until its end is listed. The coordinator took the first look after the stop's answer that did not list it for proof that it had ended.

Change: such a run is given up only by a look that was sent 1.2 s after the stop's answer (900 ms and the slack of a call).

--- a/core/src/main/kotlin/org/auburnlever/workload/Coordinator.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/Coordinator.kt
@@ -47,6 +47,7 @@
     private var assigning = false
     private var nextPlanMillis = electedMillis + limits.reportMillis / 2
     private var nextForgetMillis = electedMillis
+    private var nextReviewMillis = electedMillis + REVIEW_INTERVAL_MILLIS
     private val electionLeaseEndMillis = electedMillis + limits.leaseSafeMillis
     private val effects = ArrayList<CoordinatorEffect>()
 
@@ -141,6 +142,7 @@
         }
         giveUpLost(nowMillis)
         if (leads && !assigning && nowMillis >= nextPlanMillis) plan(state, nowMillis)
+        if (nowMillis >= nextReviewMillis) review(nowMillis)
         if (nowMillis >= nextForgetMillis) forgetEndedJobs(nowMillis)
     }
 
@@ -207,7 +209,9 @@
 
     private fun stopAnswered(order: WorkerOrder.Stop, answer: OrderAnswer, nowMillis: Long) {
         val view = runs[order.run] ?: return
-        if (answer is OrderAnswer.Done) runs = runs.put(order.run, view.copy(stopAnsweredMillis = nowMillis))
+        // An outdated run has ended or was stopped before, so it can't begin any more either.
+        val certain = answer is OrderAnswer.Done || answer == OrderAnswer.Refused(RefusalReason.OUTDATED)
+        if (certain) runs = runs.put(order.run, view.copy(stopAnsweredMillis = nowMillis))
     }
 
     private fun lookAnswered(
@@ -221,6 +225,7 @@
         val pauseMillis = if (answer is OrderAnswer.Listed) 0 else FAILED_LOOK_PAUSE_MILLIS
         put(view.copy(holdSentMillis = null, nextHoldMillis = nowMillis + pauseMillis))
         if (answer is OrderAnswer.Listed) {
+            if (rebornSince(order.worker, answer)) return
             confirmEnds(order)
             takeEnds(order.worker, answer, nowMillis)
             takeActive(state, order.worker, answer, nowMillis)
@@ -228,6 +233,19 @@
         }
     }
 
+    /**
+     * Whether the answer comes from a later life of the worker than the one that was meant. Its lists begin anew, so
+     * nothing of the earlier life is read from them.
+     */
+    private fun rebornSince(meant: WorkerRef, listed: OrderAnswer.Listed): Boolean {
+        val bornMillis = listed.bornMillis ?: return false
+        if (bornMillis <= meant.bornMillis) return false
+        val known = workers[meant.id]
+        if (known == null || known.ref.bornMillis < bornMillis) put(freshView(meant.copy(bornMillis = bornMillis)))
+        note("worker_reborn", meant.id, "bornMillis" to bornMillis)
+        return true
+    }
+
     private fun confirmEnds(order: WorkerOrder.Look) {
         val view = workers[order.worker.id] ?: return
         put(view.copy(looked = true, confirmedEnd = maxOf(view.confirmedEnd, order.acknowledgedEnd)))
@@ -292,7 +310,8 @@
             view.worker.id == ref.id && run !in listedRuns && view.answeredMillis.let { it != null && it < sentMillis }
         }
         missing.forEach { (run, view) ->
-            val stopped = view.stopAnsweredMillis.let { it != null && it < sentMillis }
+            // A run that is being stopped is not listed and takes room until its end is.
+            val stopped = view.stopAnsweredMillis.let { it != null && it + limits.stopSafeMillis < sentMillis }
             if (stopped) {
                 recordEnds(listOf(RunEnd(run, EndKind.LOST, view.checkpoint)))
                 note("task_lost", run.toString(), "worker" to ref.id, "reason" to "not listed after a stop")
@@ -356,7 +375,8 @@
     private fun WorkerView.dueForLook(busy: Boolean, nowMillis: Long): Boolean {
         val wanted = busy || endsInFlight > 0 || acknowledgedEnd > confirmedEnd || !looked || failedCalls > 0
         val present = busy || leftMillis == null && nowMillis - heardMillis <= limits.reportLimitMillis
-        return wanted && present && holdSentMillis == null && nowMillis >= nextHoldMillis
+        val free = holdSentMillis.let { it == null || nowMillis - it >= LOOK_LIMIT_MILLIS }
+        return wanted && present && free && nowMillis >= nextHoldMillis
     }
 
     /** Stops the runs of ended jobs and of gangs that have lost a member. */
@@ -411,6 +431,28 @@
         }
     }
 
+    /** Logs runs that have been settling for long, so that a job that does not go on can be explained. */
+    private fun review(nowMillis: Long) {
+        nextReviewMillis = nowMillis + REVIEW_INTERVAL_MILLIS
+        runs.filterValues { it.settlesSince(nowMillis - REVIEW_INTERVAL_MILLIS) }.forEach { (run, view) ->
+            val worker = workers[view.worker.id]
+            note(
+                "run_unsettled",
+                run.toString(),
+                "worker" to view.worker.id,
+                "missingForMillis" to view.missingSinceMillis?.let { nowMillis - it },
+                "stopSentAgoMillis" to view.stopSentMillis?.let { nowMillis - it },
+                "stopAnsweredAgoMillis" to view.stopAnsweredMillis?.let { nowMillis - it },
+                "failedCalls" to worker?.failedCalls,
+                "leaseLeftMillis" to worker?.let { it.leaseEndMillis - nowMillis },
+            )
+        }
+        if (settling.isNotEmpty()) note("ends_unrecorded", "${settling.size}", "first" to settling.first())
+    }
+
+    private fun RunView.settlesSince(sinceMillis: Long): Boolean =
+        listOf(missingSinceMillis, stopSentMillis).any { it != null && it <= sinceMillis }
+
     private fun forgetEndedJobs(nowMillis: Long) {
         nextForgetMillis = nowMillis + FORGET_INTERVAL_MILLIS
         val command = WorkloadCommand.ForgetJobs(nowMillis - limits.jobRetentionMillis)
@@ -457,12 +499,16 @@
         const val LOOK_WAIT_MILLIS = 1_500L
         const val FAILED_LOOK_PAUSE_MILLIS = 300L
 
+        /** A look whose answer the driver lost is given up; the driver's own limit is less than half of this. */
+        const val LOOK_LIMIT_MILLIS = 6_000L
+
         /** Repeats a stop whose answer was lost; longer than the 900 ms that a worker takes. */
         const val STOP_REPEAT_MILLIS = 1_000L
 
         /** A worker that said that it ends has ended by then. */
         const val LEAVE_MILLIS = 1_000L
         const val FORGET_INTERVAL_MILLIS = 20_000L
+        const val REVIEW_INTERVAL_MILLIS = 4_000L
         const val SUSPENDING_FAILURES = 2
 
         /** First suspension; as long as a typical disturbance of a worker lasts. */
@@ -471,6 +517,7 @@
 
         /** Refusals after which the run can't begin at the worker. */
         val NOT_BEGUN = setOf(
+            RefusalReason.OUTDATED,
             RefusalReason.TOO_LATE,
             RefusalReason.NO_ROOM,
             RefusalReason.NO_TICKET,
--- a/core/src/main/kotlin/org/auburnlever/workload/WorkloadLimits.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/WorkloadLimits.kt
@@ -20,6 +20,9 @@
     /** From an order's sending until its lease has certainly run out: clocks may be 2% slow, and calls take time. */
     val leaseSafeMillis: Long get() = leaseMillis + leaseMillis * CLOCK_ERROR_PERCENT / PERCENT + CALL_SLACK_MILLIS
 
+    /** From the answer to a stop until the run has certainly ended and its end is listed. */
+    val stopSafeMillis: Long get() = stopMillis + CALL_SLACK_MILLIS
+
     private companion object {
         /** Three looks of 2 s; a shorter lease would end the work of a worker that is cut off for a moment. */
         const val LEASE_MILLIS = 6_000L
--- a/core/src/test/kotlin/org/auburnlever/workload/CoordinatorTest.kt
+++ b/core/src/test/kotlin/org/auburnlever/workload/CoordinatorTest.kt
@@ -91,7 +91,10 @@
         assertEquals(TaskPhase.ASSIGNED, workload.state.task(start.run.task)?.phase)
 
         answer(stop, OrderAnswer.Done(clockMillis = 102_000))
-        tick(afterMillis = 400)
+        tick(afterMillis = limits.stopMillis)
+        answer(take<WorkerOrder.Look>(), listed())
+        assertEquals(TaskPhase.ASSIGNED, workload.state.task(start.run.task)?.phase, "it may still be stopping")
+        tick(afterMillis = limits.stopSafeMillis)
         answer(take<WorkerOrder.Look>(), listed())
         assertEquals(TaskPhase.WAITING, workload.state.task(start.run.task)?.phase)
     }
@@ -193,4 +196,41 @@
 
         assertTrue(orders.none { it is WorkerOrder.Start })
     }
+
+    @Test
+    fun `a look whose answer is lost does not end the looks at the worker`() {
+        val start = startJob()
+        answer(start, OrderAnswer.Done(clockMillis = 100_050))
+        take<WorkerOrder.Look>()
+        tick(afterMillis = 6_100)
+
+        take<WorkerOrder.Look>()
+    }
+
+    @Test
+    fun `a run whose stop the worker calls outdated is given up when it is not listed`() {
+        val start = startJob()
+        answer(take<WorkerOrder.Look>(), listed())
+        answer(start, OrderAnswer.Unknown("no answer"))
+        tick(afterMillis = 2_000)
+        answer(take<WorkerOrder.Look>(), listed())
+        answer(take<WorkerOrder.Stop>(), OrderAnswer.Refused(RefusalReason.OUTDATED))
+        tick(afterMillis = limits.stopSafeMillis + 100)
+        answer(take<WorkerOrder.Look>(), listed())
+
+        assertEquals(TaskPhase.WAITING, workload.state.task(start.run.task)?.phase)
+    }
+
+    @Test
+    fun `lists of a worker's later life are not read as those of the earlier one`() {
+        val start = startJob()
+        answer(start, OrderAnswer.Done(clockMillis = 100_050))
+        val end = NumberedEnd(1, RunEnd(start.run, EndKind.FAILED, ""))
+        val reborn = OrderAnswer.Listed(clockMillis = 10, bornMillis = 2, active = emptyList(), ended = listOf(end))
+        answer(take<WorkerOrder.Look>(), reborn)
+        tick()
+
+        assertEquals(0, workload.state.task(start.run.task)?.failures)
+        assertEquals(TaskPhase.WAITING, workload.state.task(start.run.task)?.phase)
+    }
 }
