Withhold the room of stopping runs from other steps; count a restart in a displacement's cost

Runs that had just started were the cheapest to displace, so an urgent gang changed its rack from plan to plan.

Change: released room is taken back after the placement; a displaced run costs 2 s besides the work done.

--- a/core/src/main/kotlin/org/auburnlever/workload/WorkPlan.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/WorkPlan.kt
@@ -10,7 +10,7 @@
     stopping: Set<TaskRun>,
     nowMillis: Long,
 ): WorkPlan {
-    val planner = WorkPlanner(FleetRoom.of(workers, jobs), jobs, stopping)
+    val planner = WorkPlanner(FleetRoom.of(workers, jobs), jobs, stopping, nowMillis)
     jobs.asSequence()
         .filter { it.phase == JobPhase.ACTIVE }
         .flatMap { it.waitingSteps(nowMillis) }
@@ -53,6 +53,7 @@
     private val room: FleetRoom,
     private val jobs: Collection<JobRecord>,
     private val stopping: Set<TaskRun>,
+    private val nowMillis: Long,
 ) {
     val assignments = ArrayList<Assignment>()
     val displaced = LinkedHashSet<TaskRun>()
@@ -100,6 +101,8 @@
             ?: return
         release(victims.orEmpty())
         room.place(missing, candidates)
+        // Room that is still in use must not go to another step, even if this one was placed beside it.
+        withhold(victims.orEmpty())
         displaced += victims.orEmpty().flatMap { it.runs }.map { it.first }.filter { it !in stopping }
     }
 
@@ -124,6 +127,10 @@
         victim.runs.forEach { (_, worker) -> room.worker(worker.id)?.let { it.free += victim.need } }
     }
 
+    private fun withhold(victims: List<Displaceable>) = victims.forEach { victim ->
+        victim.runs.forEach { (_, worker) -> room.worker(worker.id)?.let { it.free -= victim.need } }
+    }
+
     private fun displaceable(priority: Int): List<Displaceable> = jobs.flatMap { job ->
         val lower = job.policy.priority > priority
         job.assigned().groupBy { (id, _) -> if (job.spec.steps[id.step].gang) id.stepId else id }.values
@@ -136,20 +143,19 @@
         val runs = tasks.mapNotNull { (id, task) -> task.worker?.let { TaskRun(id, task.run) to it } }
         val stopped = runs.all { it.first in stopping }
         val first = tasks.first().first
-        val elapsed = tasks.sumOf { (_, task) -> maxOf(0, latestMillis - task.assignedMillis) }
+        val elapsed = tasks.sumOf { (_, task) -> RESTART_MILLIS + maxOf(0, nowMillis - task.assignedMillis) }
         val weight = needOf(first).let { it.milliCores + it.accelerators * CORES_PER_ACCELERATOR * MILLI }
         return Displaceable(runs, needOf(first), if (stopped) 0 else elapsed * weight + 1)
     }
 
-    private val latestMillis = jobs.maxOfOrNull { job ->
-        job.assigned().maxOfOrNull { it.second.assignedMillis } ?: 0
-    } ?: 0
-
     private companion object {
         const val URGENT = 0
 
         /** Relation in which the operators weigh an accelerator against cores. */
         const val CORES_PER_ACCELERATOR = 8
         const val MILLI = 1_000
+
+        /** What a stop costs besides the work done so far: the stop, the wait and the next start take about 2 s. */
+        const val RESTART_MILLIS = 2_000L
     }
 }
--- a/core/src/test/kotlin/org/auburnlever/workload/WorkPlanTest.kt
+++ b/core/src/test/kotlin/org/auburnlever/workload/WorkPlanTest.kt
@@ -102,4 +102,35 @@
 
         assertTrue(plan(listOf(report("1"))).assignments.isEmpty())
     }
+
+    @Test
+    fun `room of runs that are stopping is not given to other steps in the same plan`() {
+        workload.submit("routine", "old", step(tasks = 1, accelerators = 4))
+        record(plan(listOf(report("1"))))
+        workload.submit("urgent", "gang", step(tasks = 1, accelerators = 8, gang = true))
+        workload.submit("routine", "next", step(tasks = 4, accelerators = 1))
+
+        val plan = plan(listOf(report("1")))
+        assertEquals(listOf(TaskRun(TaskId("old", 0, 0, 0), 1)), plan.displaced)
+        assertTrue(plan.assignments.isEmpty(), "the worker is reserved for the gang: ${plan.assignments}")
+    }
+
+    @Test
+    fun `an urgent gang goes on waiting for the runs that stop for it`() {
+        val workers = listOf(report("1", "r1"), report("2", "r2"))
+        workload.submit("routine", "a", step(tasks = 1, accelerators = 8))
+        record(plan(listOf(workers[0])))
+        workload.nowMillis += 3_000
+        workload.submit("routine", "b", step(tasks = 1, accelerators = 8))
+        record(plan(workers))
+        workload.submit("urgent", "gang", step(tasks = 2, accelerators = 4, gang = true, rackSensitive = true))
+        val stopping = plan(workers).displaced.toSet()
+        assertEquals(setOf(TaskRun(TaskId("b", 0, 0, 0), 1)), stopping)
+
+        workload.end("a", index = 0, run = 1, kind = EndKind.DONE)
+        workload.submit("routine", "c", step(tasks = 1, accelerators = 1))
+        val next = plan(workers, stopping)
+        assertTrue(next.displaced.isEmpty())
+        assertEquals(listOf("gang"), next.assignments.filter { it.step.job == "gang" }.map { it.step.job })
+    }
 }
