Keep accelerators free for a stream of urgent jobs; refuse early while there is no leader

Entry hosts held requests for up to 2.5 s without a leader.

Change: the planner leaves 1.5 times the urgent demand of the last 10 s free while more than half of the fleet is in use; a call that was sent to no leader is refused after 1 s with the time to come back; calls don't go out on a link that has been silent for 1.2 s.

--- a/core/src/main/kotlin/org/auburnlever/workload/Coordinator.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/Coordinator.kt
@@ -44,6 +44,7 @@
     private var workers: PersistentMap<String, WorkerView> = persistentMapOf()
     private var runs: PersistentMap<TaskRun, RunView> = persistentMapOf()
     private var settling: PersistentSet<TaskRun> = persistentSetOf()
+    private var demand = UrgentDemand()
     private var assigning = false
     private var nextPlanMillis = electedMillis + limits.reportMillis / 2
     private var nextForgetMillis = electedMillis
@@ -420,7 +421,8 @@
         nextPlanMillis = nowMillis + PLAN_INTERVAL_MILLIS
         val usable = workers.values.filter { it.usable(nowMillis, limits.reportLimitMillis) }
         val stopping = runs.filterValues { it.stopSentMillis != null }.keys
-        val plan = planWork(state.jobs.values, usable, stopping, nowMillis)
+        demand = demand.observed(state.jobs.values, nowMillis)
+        val plan = planWork(state.jobs.values, usable, stopping, demand.reserve(state.jobs.values), nowMillis)
         plan.displaced.forEach { run ->
             runs[run]?.let { stop(run, it, nowMillis) }
             note("task_displaced", run.toString())
--- /dev/null
+++ b/core/src/main/kotlin/org/auburnlever/workload/UrgentDemand.kt
@@ -0,0 +1,68 @@
+package org.auburnlever.workload
+
+/**
+ * How many accelerators urgent jobs have needed lately.
+ *
+ * Answers the load pattern of many small urgent jobs that arrive while routine work fills the fleet: each of them would
+ * have to wait for a stop, which takes about a second of an objective of four.
+ */
+data class UrgentDemand(private val samples: List<Sample> = emptyList()) {
+    /** Accelerators of the open urgent jobs at [atMillis]. */
+    data class Sample(val atMillis: Long, val accelerators: Int)
+
+    /** Adds what the urgent jobs among [jobs] need at [nowMillis], at most once in [SAMPLE_MILLIS]. */
+    fun observed(jobs: Collection<JobRecord>, nowMillis: Long): UrgentDemand {
+        val newest = samples.lastOrNull()
+        if (newest != null && nowMillis - newest.atMillis < SAMPLE_MILLIS) return this
+        val kept = samples.filter { nowMillis - it.atMillis <= WINDOW_MILLIS }
+        return UrgentDemand(kept + Sample(nowMillis, jobs.sumOf { it.urgentAccelerators(nowMillis) }))
+    }
+
+    /** Accelerators to keep free for urgent jobs beside those that they use already. */
+    fun reserve(jobs: Collection<JobRecord>): Int {
+        if (samples.isEmpty()) return 0
+        val expected = samples.sumOf { it.accelerators } * HEADROOM_PERCENT / (samples.size * PERCENT)
+        val used = jobs.filter { it.policy.priority == URGENT }
+            .sumOf { job -> job.assigned().sumOf { (id, _) -> job.needOf(id).accelerators } }
+        return maxOf(0, expected - used)
+    }
+
+    private fun JobRecord.urgentAccelerators(nowMillis: Long): Int {
+        if (phase != JobPhase.ACTIVE || policy.priority != URGENT) return 0
+        val waiting = waitingSteps(nowMillis).sumOf { it.spec.reserved.accelerators * it.tasks.size }
+        return waiting + assigned().sumOf { (id, _) -> needOf(id).accelerators }
+    }
+
+    private companion object {
+        const val SAMPLE_MILLIS = 250L
+
+        /** Covers several urgent jobs, which take about 3 s each, and forgets a burst soon after it. */
+        const val WINDOW_MILLIS = 10_000L
+
+        /** Arrivals vary by about half of their mean at a few jobs at a time. */
+        const val HEADROOM_PERCENT = 150
+        const val PERCENT = 100
+    }
+}
+
+/**
+ * Names the workers that keep [accelerators] free: the emptiest ones, since urgent jobs often need whole workers.
+ * None are kept while half of the fleet is free.
+ */
+internal fun FleetRoom.reserve(accelerators: Int): Set<String> {
+    val total = workers.sumOf { it.report.capacity.accelerators }
+    val free = workers.sumOf { maxOf(0, it.free.accelerators) }
+    if (accelerators <= 0 || free * 2 >= total) return emptySet()
+    val kept = LinkedHashSet<String>()
+    var missing = minOf(accelerators, total * MAX_RESERVE_PERCENT / WHOLE_PERCENT)
+    for (worker in workers.sortedByDescending { it.free.accelerators }) {
+        if (missing <= 0) break
+        kept += worker.ref.id
+        missing -= maxOf(0, worker.free.accelerators)
+    }
+    return kept
+}
+
+/** Most that is kept for urgent jobs: routine work must go on during a long burst. */
+private const val MAX_RESERVE_PERCENT = 30
+private const val WHOLE_PERCENT = 100
--- a/core/src/main/kotlin/org/auburnlever/workload/WorkPlan.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/WorkPlan.kt
@@ -3,14 +3,21 @@
 /** What to start, and which runs to stop to make room for urgent jobs. */
 data class WorkPlan(val assignments: List<Assignment>, val displaced: List<TaskRun>)
 
-/** Decides which waiting tasks start now on which of [workers]; [stopping] are runs that have been told to stop. */
+/**
+ * Decides which waiting tasks start now on which of [workers].
+ *
+ * [stopping] are runs that have been told to stop. Work that is not urgent leaves [urgentReserve] accelerators free
+ * while more than half of the fleet is in use, so that a stream of small urgent jobs does not have to displace it.
+ */
 fun planWork(
     jobs: Collection<JobRecord>,
     workers: Collection<WorkerView>,
     stopping: Set<TaskRun>,
+    urgentReserve: Int,
     nowMillis: Long,
 ): WorkPlan {
-    val planner = WorkPlanner(FleetRoom.of(workers, jobs), jobs, stopping, nowMillis)
+    val room = FleetRoom.of(workers, jobs)
+    val planner = WorkPlanner(room, jobs, stopping, room.reserve(urgentReserve), nowMillis)
     jobs.asSequence()
         .filter { it.phase == JobPhase.ACTIVE }
         .flatMap { it.waitingSteps(nowMillis) }
@@ -46,6 +53,9 @@
     return if (waiting.isNotEmpty() && whole && ready(id)) WaitingStep(this, id, stepSpec, waiting) else null
 }
 
+/** Priority of the jobs that may displace others. */
+internal const val URGENT = 0
+
 /** Runs that end together when one of them is stopped. */
 private class Displaceable(val runs: List<Pair<TaskRun, WorkerRef>>, val need: Resources, val costMillis: Long)
 
@@ -53,6 +63,7 @@
     private val room: FleetRoom,
     private val jobs: Collection<JobRecord>,
     private val stopping: Set<TaskRun>,
+    private val reserved: Set<String>,
     private val nowMillis: Long,
 ) {
     val assignments = ArrayList<Assignment>()
@@ -66,13 +77,16 @@
     }
 
     private fun placeNow(step: WaitingStep): Map<Int, WorkerRef> {
-        for (candidates in step.choices()) {
+        for (candidates in step.choices().map { step.permitted(it) }) {
             val fits = room.trial { room.place(step, candidates).size }
             if (fits == step.tasks.size) return room.place(step, candidates)
         }
-        return if (step.spec.gang) emptyMap() else room.place(step, room.workers)
+        return if (step.spec.gang) emptyMap() else room.place(step, step.permitted(room.workers))
     }
 
+    private fun WaitingStep.permitted(candidates: List<RoomOnWorker>): List<RoomOnWorker> =
+        if (priority == URGENT) candidates else candidates.filter { it.ref.id !in reserved }
+
     /** Sets of workers to try in order: single racks, the fullest first, if the step is faster there; then all. */
     private fun WaitingStep.choices(): List<List<RoomOnWorker>> {
         val dataRack = spec.dataRack?.let { room.racks[it] }
@@ -149,8 +163,6 @@
     }
 
     private companion object {
-        const val URGENT = 0
-
         /** Relation in which the operators weigh an accelerator against cores. */
         const val CORES_PER_ACCELERATOR = 8
         const val MILLI = 1_000
--- a/core/src/test/kotlin/org/auburnlever/workload/WorkPlanTest.kt
+++ b/core/src/test/kotlin/org/auburnlever/workload/WorkPlanTest.kt
@@ -7,9 +7,13 @@
 class WorkPlanTest {
     private val workload = Workload().withCatalog()
 
-    private fun plan(workers: List<WorkerReport>, stopping: Set<TaskRun> = emptySet()): WorkPlan {
+    private fun plan(
+        workers: List<WorkerReport>,
+        stopping: Set<TaskRun> = emptySet(),
+        urgentReserve: Int = 0,
+    ): WorkPlan {
         val views = workers.map { WorkerView(it.ref, it, heardMillis = workload.nowMillis) }
-        return planWork(workload.state.jobs.values, views, stopping, workload.nowMillis)
+        return planWork(workload.state.jobs.values, views, stopping, urgentReserve, workload.nowMillis)
     }
 
     private fun record(plan: WorkPlan) = workload.apply(WorkloadCommand.Assign(plan.assignments))
@@ -133,4 +137,41 @@
         assertTrue(next.displaced.isEmpty())
         assertEquals(listOf("gang"), next.assignments.filter { it.step.job == "gang" }.map { it.step.job })
     }
+
+    @Test
+    fun `a stream of urgent jobs finds room that routine work has left free`() {
+        val workers = List(4) { report("$it") }
+        workload.submit("routine", "flood", step(tasks = 40))
+        record(plan(workers, urgentReserve = 0).let { it.copy(assignments = it.assignments.map { a -> a.first(17) }) })
+
+        val routine = plan(workers, urgentReserve = 8)
+        assertEquals(7, routine.assignments.single().workers.size, "one of four workers stays free")
+        record(routine)
+        workload.submit("urgent", "now", step(tasks = 1, accelerators = 8, gang = true))
+        val urgent = plan(workers, urgentReserve = 8)
+        assertEquals("now", urgent.assignments.first().step.job)
+        assertTrue(urgent.displaced.isEmpty())
+    }
+
+    @Test
+    fun `nothing is reserved for urgent jobs while half of the fleet is free`() {
+        workload.submit("routine", "a", step(tasks = 2, accelerators = 8))
+
+        assertEquals(2, plan(listOf(report("1"), report("2")), urgentReserve = 16).assignments.single().workers.size)
+    }
+
+    @Test
+    fun `the reserve follows the urgent demand and forgets it`() {
+        workload.submit("urgent", "now", step(tasks = 2, accelerators = 8))
+        var demand = UrgentDemand().observed(workload.state.jobs.values, workload.nowMillis)
+        assertEquals(24, demand.reserve(workload.state.jobs.values))
+
+        workload.apply(WorkloadCommand.CancelJob(address("urgent", "now")))
+        for (afterMillis in 1_000L..12_000L step 500) {
+            demand = demand.observed(workload.state.jobs.values, workload.nowMillis + afterMillis)
+        }
+        assertEquals(0, demand.reserve(workload.state.jobs.values))
+    }
+
+    private fun Assignment.first(count: Int) = copy(workers = workers.entries.take(count).associate { it.toPair() })
 }
--- a/node/src/main/kotlin/org/auburnlever/fleet/FleetClient.kt
+++ b/node/src/main/kotlin/org/auburnlever/fleet/FleetClient.kt
@@ -34,7 +34,7 @@
         val question = LeaderQuestion(WORKLOAD_GROUP, askHere, PeerRequest.Fleet(call)) { reply ->
             decode(reply) { (it as? PeerReply.Fleet)?.answer }.also(::remember)
         }
-        return calls.ask(question, timeoutMillis)
+        return calls.ask(question, timeoutMillis, UNSENT_LIMIT_MILLIS)
     }
 
     private fun remember(answer: Submission<FleetAnswer>) {
@@ -42,5 +42,8 @@
     }
 }
 
+/** An election takes about a second; a caller that waits longer is better off coming back. */
+private const val UNSENT_LIMIT_MILLIS = 1_000L
+
 /** The group that replicates jobs and the desired state. */
 internal val WORKLOAD_GROUP = GroupName("workload")
--- a/node/src/main/kotlin/org/auburnlever/host/LeaderCalls.kt
+++ b/node/src/main/kotlin/org/auburnlever/host/LeaderCalls.kt
@@ -35,9 +35,17 @@
     private val replicas: (GroupName) -> List<HostName>,
     private val clock: HostClock,
 ) {
-    /** Asks until there is an answer or [timeoutMillis] are over. */
-    suspend fun <T> ask(question: LeaderQuestion<T>, timeoutMillis: Long): Result<T, SubmitError> {
-        val search = LeaderSearch(clock.nowMillis() + timeoutMillis)
+    /**
+     * Asks until there is an answer or [timeoutMillis] are over; a question that no leader was found for ends after
+     * [unsentLimitMillis].
+     */
+    suspend fun <T> ask(
+        question: LeaderQuestion<T>,
+        timeoutMillis: Long,
+        unsentLimitMillis: Long = timeoutMillis,
+    ): Result<T, SubmitError> {
+        val startMillis = clock.nowMillis()
+        val search = LeaderSearch(startMillis + timeoutMillis, startMillis + minOf(timeoutMillis, unsentLimitMillis))
         var result: Result<T, SubmitError>? = null
         while (result == null && search.open(clock.nowMillis())) {
             result = attempt(question, search)
--- a/node/src/main/kotlin/org/auburnlever/host/LeaderSearch.kt
+++ b/node/src/main/kotlin/org/auburnlever/host/LeaderSearch.kt
@@ -3,8 +3,14 @@
 import org.auburnlever.peer.GroupName
 import org.auburnlever.world.HostName
 
-/** The attempts of one question so far. */
-internal class LeaderSearch(private val deadlineMillis: Long) {
+/**
+ * The attempts of one question so far. It is given up at [unsentDeadlineMillis] if no attempt can have had an effect,
+ * so that the caller hears in time that it may come back.
+ */
+internal class LeaderSearch(
+    private val deadlineMillis: Long,
+    private val unsentDeadlineMillis: Long = deadlineMillis,
+) {
     private var undecided: String? = null
     private var turn = 0
     private var unreachableSinceMillis: Long? = null
@@ -20,7 +26,8 @@
     /** Says whether another attempt makes sense. */
     fun open(nowMillis: Long): Boolean {
         val since = unreachableSinceMillis
-        return nowMillis < deadlineMillis && (since == null || nowMillis - since < UNREACHABLE_LIMIT_MILLIS)
+        val limitMillis = if (undecided == null) unsentDeadlineMillis else deadlineMillis
+        return nowMillis < limitMillis && (since == null || nowMillis - since < UNREACHABLE_LIMIT_MILLIS)
     }
 
     fun remainingMillis(nowMillis: Long): Long = (deadlineMillis - nowMillis).coerceAtLeast(1)
--- a/node/src/main/kotlin/org/auburnlever/transport/Link.kt
+++ b/node/src/main/kotlin/org/auburnlever/transport/Link.kt
@@ -12,6 +12,7 @@
 import org.auburnlever.codec.Codec
 import org.auburnlever.peer.PeerMessage
 import org.auburnlever.world.HostName
+import java.util.concurrent.TimeUnit
 
 /** One authenticated connection to [peer], used in both directions until it breaks or falls silent. */
 internal class Link(
@@ -23,6 +24,12 @@
 ) {
     private val outgoing = Channel<ByteArray>(QUEUE_FRAMES)
 
+    @Volatile
+    private var heardNanos = System.nanoTime()
+
+    /** Whether the peer's last frame is recent; a working peer sends two in this time. */
+    val isFresh: Boolean get() = System.nanoTime() - heardNanos < TimeUnit.MILLISECONDS.toNanos(FRESH_LIMIT_MILLIS)
+
     /** Queues [message]; returns false, and nothing is sent, if the queue is full or the link closed. */
     fun offer(message: PeerMessage): Boolean {
         val payload = Codec.encode(message).toByteArray()
@@ -85,6 +92,7 @@
                 counters.closedSilent.increment()
                 return
             }
+            heardNanos = System.nanoTime()
             counters.receivedBytes.increment(payload.size.toDouble())
             if (payload.isNotEmpty()) onMessage(Codec.decode(Bytes(payload)))
         }
@@ -97,6 +105,9 @@
         /** A link without a frame for this long is closed; a working peer sends four in that time. */
         const val SILENCE_LIMIT_MILLIS = 2_000L
 
+        /** Nothing new is sent on a link that was silent for this long: two keep-alives and a round trip. */
+        const val FRESH_LIMIT_MILLIS = 1_200L
+
         private const val QUEUE_FRAMES = 1_024
         private val KEEP_ALIVE = ByteArray(0)
     }
--- a/node/src/main/kotlin/org/auburnlever/transport/LinkDialler.kt
+++ b/node/src/main/kotlin/org/auburnlever/transport/LinkDialler.kt
@@ -25,8 +25,8 @@
     /** The live link to [host], null while there is none. */
     fun link(host: HostName): DialledLink? = links[host]
 
-    /** Hosts with a live link. */
-    fun reachable(): Set<HostName> = links.keys.toSet()
+    /** Hosts with a live link that is not silent. */
+    fun reachable(): Set<HostName> = links.filterValues { it.link.isFresh }.keys.toSet()
 
     /** Dials [peer] again and again until [scope] ends. */
     suspend fun keepDialling(peer: Peer, scope: CoroutineScope) {
