Split the coordinator and the planner; choose displaced work worker by worker

Displacement took the cheapest runs of a whole rack until a gang fitted, also from workers that stayed too full.

Change: the first answer to a stop counts; work is displaced for one worker's task at a time, and what turns out to be unnecessary is kept. The coordinator's decisions are files by concept around the leader's memory.

--- a/core/src/main/kotlin/org/auburnlever/ledger/ClaimRecord.kt
+++ b/core/src/main/kotlin/org/auburnlever/ledger/ClaimRecord.kt
@@ -5,8 +5,8 @@
 import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.persistentMapOf
 import kotlinx.serialization.Serializable
-import org.auburnlever.codec.PersistentMapSerializer
 import kotlinx.serialization.UseSerializers
+import org.auburnlever.codec.PersistentMapSerializer
 import org.auburnlever.wire.Outcome
 import org.auburnlever.world.HostName
 
--- a/core/src/main/kotlin/org/auburnlever/ledger/DueIndex.kt
+++ b/core/src/main/kotlin/org/auburnlever/ledger/DueIndex.kt
@@ -8,9 +8,9 @@
 import kotlinx.collections.immutable.persistentMapOf
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
-import org.auburnlever.codec.PersistentMapSerializer
-import org.auburnlever.codec.PersistentListSerializer
 import kotlinx.serialization.UseSerializers
+import org.auburnlever.codec.PersistentListSerializer
+import org.auburnlever.codec.PersistentMapSerializer
 
 /** Something that happens when ledger time reaches a deadline; ignored if the state has moved on since. */
 @Serializable
--- a/core/src/main/kotlin/org/auburnlever/ledger/GuaranteePlan.kt
+++ b/core/src/main/kotlin/org/auburnlever/ledger/GuaranteePlan.kt
@@ -7,9 +7,9 @@
 import kotlinx.collections.immutable.persistentMapOf
 import kotlinx.collections.immutable.persistentSetOf
 import kotlinx.serialization.Serializable
-import org.auburnlever.codec.PersistentSetSerializer
-import org.auburnlever.codec.PersistentMapSerializer
 import kotlinx.serialization.UseSerializers
+import org.auburnlever.codec.PersistentMapSerializer
+import org.auburnlever.codec.PersistentSetSerializer
 import org.auburnlever.world.Shape
 
 /**
--- a/core/src/main/kotlin/org/auburnlever/ledger/JobRecord.kt
+++ b/core/src/main/kotlin/org/auburnlever/ledger/JobRecord.kt
@@ -7,9 +7,9 @@
 import kotlinx.collections.immutable.persistentListOf
 import kotlinx.collections.immutable.persistentSetOf
 import kotlinx.serialization.Serializable
-import org.auburnlever.codec.PersistentSetSerializer
-import org.auburnlever.codec.PersistentListSerializer
 import kotlinx.serialization.UseSerializers
+import org.auburnlever.codec.PersistentListSerializer
+import org.auburnlever.codec.PersistentSetSerializer
 import org.auburnlever.wire.JobPhase
 import org.auburnlever.wire.JobSpec
 import org.auburnlever.wire.Outcome
--- a/core/src/main/kotlin/org/auburnlever/ledger/Journal.kt
+++ b/core/src/main/kotlin/org/auburnlever/ledger/Journal.kt
@@ -6,8 +6,8 @@
 import kotlinx.collections.immutable.persistentListOf
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
-import org.auburnlever.codec.PersistentListSerializer
 import kotlinx.serialization.UseSerializers
+import org.auburnlever.codec.PersistentListSerializer
 import org.auburnlever.world.AccountName
 import org.auburnlever.world.WorkerName
 
--- a/core/src/main/kotlin/org/auburnlever/ledger/WorkerRecord.kt
+++ b/core/src/main/kotlin/org/auburnlever/ledger/WorkerRecord.kt
@@ -5,8 +5,8 @@
 import kotlinx.collections.immutable.PersistentSet
 import kotlinx.collections.immutable.persistentSetOf
 import kotlinx.serialization.Serializable
-import org.auburnlever.codec.PersistentSetSerializer
 import kotlinx.serialization.UseSerializers
+import org.auburnlever.codec.PersistentSetSerializer
 import org.auburnlever.world.RackName
 import org.auburnlever.world.Shape
 import org.auburnlever.world.WorkerName
--- a/core/src/main/kotlin/org/auburnlever/peer/PeerRequest.kt
+++ b/core/src/main/kotlin/org/auburnlever/peer/PeerRequest.kt
@@ -13,10 +13,10 @@
 import org.auburnlever.wire.HeartbeatReply
 import org.auburnlever.wire.Outcome
 import org.auburnlever.wire.WorkerHeartbeat
-import org.auburnlever.world.AccountName
-import org.auburnlever.world.HostName
 import org.auburnlever.workload.FleetAnswer
 import org.auburnlever.workload.FleetCall
+import org.auburnlever.world.AccountName
+import org.auburnlever.world.HostName
 import org.auburnlever.world.ServiceName
 
 /** What one host asks of another. */
--- a/core/src/main/kotlin/org/auburnlever/workload/Admission.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/Admission.kt
@@ -4,9 +4,6 @@
 import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
 
-/** A call that the desired state allows: its queue, the caller's account, and what follows the queue's prefix. */
-data class Admitted(val queue: Queue, val account: Account?, val rest: String)
-
 /** Checks [address] against the desired state in force. */
 fun WorkloadState.admit(address: JobAddress): Result<Admitted, Inadmissible> {
     val inForce = catalog ?: return Err(Inadmissible.NO_CATALOG)
--- /dev/null
+++ b/core/src/main/kotlin/org/auburnlever/workload/ApplyEnds.kt
@@ -0,0 +1,70 @@
+package org.auburnlever.workload
+
+/** Records [ends] of runs that are assigned; others are out of date. */
+internal fun WorkloadState.record(ends: List<RunEnd>): WorkloadState = ends.fold(this) { state, end ->
+    val job = state.jobs[end.run.task.job]
+    val task = job?.task(end.run.task)
+    val current = task != null && task.phase == TaskPhase.ASSIGNED && task.run == end.run.run
+    if (job != null && current) state.with(job.after(end).settled(state.nowMillis)) else state
+}
+
+private fun JobRecord.after(end: RunEnd): JobRecord {
+    val id = end.run.task
+    val spec = spec.steps[id.step]
+    return edit(id.stepId) { step ->
+        when {
+            end.kind == EndKind.DONE && spec.gang -> step.allDone(end.run.run)
+            end.kind == EndKind.DONE && !spec.longRunning ->
+                step.edit(id.index) { it.copy(phase = TaskPhase.DONE, worker = null) }
+            else -> step.freed(id.index, end, spec.gang)
+        }
+    }
+}
+
+/** One end as done stands for all members of a gang's [run]. */
+private fun StepRecord.allDone(run: Int): StepRecord {
+    val done = tasks.map { if (it.run == run) it.copy(phase = TaskPhase.DONE, worker = null) else it }
+    return copy(tasks = tasks.clear().addAll(done))
+}
+
+private fun StepRecord.freed(index: Int, end: RunEnd, gang: Boolean): StepRecord {
+    val failed = end.kind == EndKind.FAILED
+    val freed = edit(index) { task ->
+        task.copy(
+            phase = TaskPhase.WAITING,
+            worker = null,
+            failures = task.failures + if (failed) 1 else 0,
+            checkpoint = end.checkpoint.ifEmpty { task.checkpoint },
+        )
+    }
+    val counts = failed && end.run.run > newestFailedRun
+    val counted = if (counts) freed.copy(failedRuns = failedRuns + 1, newestFailedRun = end.run.run) else freed
+    return if (gang && end.checkpoint.isNotEmpty()) counted.sharing(end.checkpoint) else counted
+}
+
+/** All members of a gang resume from the same checkpoint. */
+private fun StepRecord.sharing(checkpoint: String): StepRecord =
+    copy(tasks = tasks.clear().addAll(tasks.map { it.copy(checkpoint = checkpoint) }))
+
+/** Ends the job if it is done or has used up its attempts. */
+private fun JobRecord.settled(nowMillis: Long): JobRecord {
+    val failed = occurrences.values.any { steps ->
+        steps.withIndex().any { (index, step) -> spec.steps[index].exhausted(step, policy.maxAttempts) }
+    }
+    val done = (0 until spec.occurrenceCount).all { steps(it).all(StepRecord::done) }
+    return when {
+        phase != JobPhase.ACTIVE -> this
+        done -> ended(JobPhase.SUCCEEDED, nowMillis)
+        failed -> ended(JobPhase.FAILED, nowMillis)
+        else -> this
+    }
+}
+
+private fun StepSpec.exhausted(step: StepRecord, maxAttempts: Int): Boolean = when {
+    longRunning || step.done -> false
+    gang -> step.failedRuns >= maxAttempts
+    else -> step.tasks.any { it.phase != TaskPhase.DONE && it.failures >= maxAttempts }
+}
+
+/** The job with its final phase. */
+internal fun JobRecord.ended(phase: JobPhase, nowMillis: Long) = copy(phase = phase, endedMillis = nowMillis)
--- /dev/null
+++ b/core/src/main/kotlin/org/auburnlever/workload/RunOrders.kt
@@ -0,0 +1,48 @@
+package org.auburnlever.workload
+
+/** Orders the start of [run], whose assignment is recorded. */
+internal fun LeaderMemory.start(state: WorkloadState, run: TaskRun, nowMillis: Long) {
+    val job = state.jobs[run.task.job]
+    val task = job?.task(run.task)
+    val ref = task?.worker?.takeIf { task.run == run.run }
+    if (job == null || task == null || ref == null) return
+    val view = workers[ref.id] ?: freshView(ref)
+    put(run, RunView(ref, answeredMillis = null, progressMillis = nowMillis))
+    put(view.copy(leaseEndMillis = nowMillis + limits.leaseSafeMillis))
+    val deadlineMillis = view.clockNowMillis(nowMillis) + limits.leaseMillis
+    order(WorkerOrder.Start(ref, term, run, job.spec.payload, task.checkpoint, deadlineMillis))
+    note("task_started", run.toString(), "worker" to ref.id, "queue" to job.queue, "checkpoint" to task.checkpoint)
+}
+
+/** Takes the answer to a start; a refusal means that the run never begins. */
+internal fun LeaderMemory.startAnswered(order: WorkerOrder.Start, answer: OrderAnswer, nowMillis: Long) {
+    val view = runs[order.run] ?: return
+    put(order.run, view.copy(answeredMillis = nowMillis))
+    val refused = answer as? OrderAnswer.Refused ?: return
+    note("start_refused", order.run.toString(), "worker" to order.worker.id, "reason" to refused.reason)
+    if (refused.reason == RefusalReason.UNHEALTHY) {
+        workers[order.worker.id]?.let { put(suspended(it, nowMillis)) }
+    }
+    // A fenced start says nothing of a start by the later leader.
+    if (refused.reason != RefusalReason.FENCED) recordEnds(listOf(RunEnd(order.run, EndKind.LOST, checkpoint = "")))
+}
+
+/** Orders [run] to stop, unless that was ordered a moment ago. */
+internal fun LeaderMemory.stop(run: TaskRun, view: RunView, nowMillis: Long) {
+    val due = view.stopSentMillis.let { it == null || nowMillis - it >= STOP_REPEAT_MILLIS }
+    if (!due) return
+    put(run, (runs[run] ?: view).copy(stopSentMillis = nowMillis))
+    order(WorkerOrder.Stop(view.worker, term, run))
+    note("task_stopping", run.toString(), "worker" to view.worker.id)
+}
+
+/** Takes the answer to a stop. */
+internal fun LeaderMemory.stopAnswered(order: WorkerOrder.Stop, answer: OrderAnswer, nowMillis: Long) {
+    val view = runs[order.run] ?: return
+    // An outdated run has ended or was stopped before, so it can't begin any more either.
+    val certain = answer is OrderAnswer.Done || answer == OrderAnswer.Refused(RefusalReason.OUTDATED)
+    if (certain) put(order.run, view.copy(stopAnsweredMillis = view.stopAnsweredMillis ?: nowMillis))
+}
+
+/** Repeats a stop whose answer was lost; longer than the 900 ms that a worker takes. */
+private const val STOP_REPEAT_MILLIS = 1_000L
--- /dev/null
+++ b/core/src/main/kotlin/org/auburnlever/workload/RunSettling.kt
@@ -0,0 +1,81 @@
+package org.auburnlever.workload
+
+/** Takes over the runs that an earlier leader assigned, and forgets those that are assigned no more. */
+internal fun LeaderMemory.adoptRuns(state: WorkloadState) {
+    val assigned = state.jobs.values.flatMap { it.assigned() }
+    for ((id, task) in assigned) {
+        val run = TaskRun(id, task.run)
+        val ref = task.worker
+        if (ref != null && run !in runs && run !in settling) {
+            put(run, RunView(ref, answeredMillis = 0, progressMillis = state.nowMillis))
+            if (ref.id !in workers) put(freshView(ref))
+        }
+    }
+    val current = assigned.map { (id, task) -> TaskRun(id, task.run) }.toSet()
+    keepRuns { it in current }
+}
+
+/** Stops the runs of ended jobs and of gangs that have lost a member. */
+internal fun LeaderMemory.stopUnwanted(state: WorkloadState, nowMillis: Long) = runs.forEach { (run, view) ->
+    val job = state.jobs[run.task.job]
+    val unwanted = job == null || job.phase != JobPhase.ACTIVE || job.isBroken(run.task.stepId)
+    if (unwanted) stop(run, view, nowMillis)
+}
+
+private fun JobRecord.isBroken(id: StepId): Boolean {
+    val record = step(id) ?: return false
+    return spec.steps[id.step].gang &&
+        record.tasks.any { it.phase == TaskPhase.ASSIGNED } && record.tasks.any { it.phase == TaskPhase.WAITING }
+}
+
+/** Gives up runs on workers whose lease has run out, or whose life has ended. */
+internal fun LeaderMemory.giveUpLost(nowMillis: Long) {
+    val lost = runs.filter { (_, view) -> workers[view.worker.id]?.hasLost(view.worker, nowMillis) ?: false }
+    if (lost.isEmpty()) return
+    recordEnds(lost.map { (run, view) -> RunEnd(run, EndKind.LOST, view.checkpoint) })
+    lost.forEach { (run, view) -> note("task_lost", run.toString(), "worker" to view.worker.id) }
+}
+
+private fun WorkerView.hasLost(ref: WorkerRef, nowMillis: Long): Boolean {
+    val silent = failedCalls > 0 && nowMillis >= leaseEndMillis
+    val ended = leftMillis.let { it != null && nowMillis - it >= LEAVE_MILLIS && failedCalls > 0 }
+    return silent || ended || this.ref.bornMillis > ref.bornMillis
+}
+
+/** The ends of a proposal are recorded, so they can be acknowledged to their worker. */
+internal fun LeaderMemory.endsRecorded(tag: ProposalTag.Ends) {
+    settled(tag.runs)
+    val view = tag.workerId?.let { workers[it] } ?: return
+    put(view.copy(acknowledgedEnd = maxOf(view.acknowledgedEnd, tag.throughEnd), endsInFlight = 0))
+}
+
+/** The ends of a proposal are not recorded; the next look lists them again. */
+internal fun LeaderMemory.endsNotRecorded(tag: ProposalTag.Ends) {
+    settled(tag.runs)
+    val view = tag.workerId?.let { workers[it] } ?: return
+    put(view.copy(endsInFlight = 0))
+}
+
+/** Logs runs that have been settling since [settlesSinceMillis], so that a job that does not go on can be explained. */
+internal fun LeaderMemory.noteUnsettled(settlesSinceMillis: Long, nowMillis: Long) {
+    val unsettled = runs.filterValues { view ->
+        listOf(view.missingSinceMillis, view.stopSentMillis).any { it != null && it <= settlesSinceMillis }
+    }
+    unsettled.forEach { (run, view) ->
+        val worker = workers[view.worker.id]
+        note(
+            "run_unsettled",
+            run.toString(),
+            "worker" to view.worker.id,
+            "missingForMillis" to view.missingSinceMillis?.let { nowMillis - it },
+            "stopSentAgoMillis" to view.stopSentMillis?.let { nowMillis - it },
+            "stopAnsweredAgoMillis" to view.stopAnsweredMillis?.let { nowMillis - it },
+            "failedCalls" to worker?.failedCalls,
+            "leaseLeftMillis" to worker?.let { it.leaseEndMillis - nowMillis },
+        )
+    }
+    if (settling.isNotEmpty()) note("ends_unrecorded", "${settling.size}", "first" to settling.first())
+}
+
+/** A worker that said that it ends has ended by then. */
+private const val LEAVE_MILLIS = 1_000L
--- a/core/src/test/kotlin/org/auburnlever/workload/CoordinatorTest.kt
+++ b/core/src/test/kotlin/org/auburnlever/workload/CoordinatorTest.kt
@@ -233,4 +233,20 @@
         assertEquals(0, workload.state.task(start.run.task)?.failures)
         assertEquals(TaskPhase.WAITING, workload.state.task(start.run.task)?.phase)
     }
+
+    @Test
+    fun `repeated stops do not put off the moment at which a missing run is given up`() {
+        val start = startJob()
+        answer(take<WorkerOrder.Look>(), listed())
+        answer(start, OrderAnswer.Unknown("no answer"))
+        repeat(4) {
+            tick(afterMillis = 1_100)
+            orders.filterIsInstance<WorkerOrder.Look>().forEach { answer(it, listed()) }
+            orders.filterIsInstance<WorkerOrder.Stop>().forEach { answer(it, OrderAnswer.Done(clockMillis = 102_000)) }
+            orders.clear()
+        }
+
+        val task = assertNotNull(workload.state.task(start.run.task))
+        assertTrue(task.phase == TaskPhase.WAITING || task.run > start.run.run, "the first run was not given up")
+    }
 }
--- a/core/src/test/kotlin/org/auburnlever/workload/WorkPlanTest.kt
+++ b/core/src/test/kotlin/org/auburnlever/workload/WorkPlanTest.kt
@@ -174,4 +174,17 @@
     }
 
     private fun Assignment.first(count: Int) = copy(workers = workers.entries.take(count).associate { it.toPair() })
+
+    @Test
+    fun `an urgent task for a whole worker displaces the work of one worker only`() {
+        val workers = listOf(report("1"), report("2"), report("3"))
+        workload.submit("routine", "small", step(tasks = 24))
+        record(plan(workers))
+        workload.submit("urgent", "now", step(tasks = 1, accelerators = 8, gang = true))
+
+        val displaced = plan(workers).displaced
+        val hosts = displaced.map { workload.job("small").task(it.task)?.worker?.id }.toSet()
+        assertEquals(8, displaced.size)
+        assertEquals(1, hosts.size)
+    }
 }
--- a/node/src/main/kotlin/org/auburnlever/fleet/FleetClient.kt
+++ b/node/src/main/kotlin/org/auburnlever/fleet/FleetClient.kt
@@ -4,8 +4,8 @@
 import org.auburnlever.host.HostClock
 import org.auburnlever.host.LeaderCalls
 import org.auburnlever.host.LeaderQuestion
-import org.auburnlever.host.SubmitError
 import org.auburnlever.host.Submission
+import org.auburnlever.host.SubmitError
 import org.auburnlever.host.decode
 import org.auburnlever.peer.GroupName
 import org.auburnlever.peer.PeerReply
