Hold room for waiting gangs and avoid workers on which runs stand still

Workers that hang accept tasks and look healthy.

Change: the next two gangs that don't fit keep the free room of the rack that lacks the least for them.

--- a/core/src/main/kotlin/org/auburnlever/workload/Coordinator.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/Coordinator.kt
@@ -83,6 +83,7 @@
         val leads = nowMillis - confirmedMillis <= CONFIRMATION_LIMIT_MILLIS
         if (leads) {
             stopUnwanted(state, nowMillis)
+            suspectStalled(state, nowMillis)
             lookAtWorkers(confirmedMillis, nowMillis)
         }
         giveUpLost(nowMillis)
--- a/core/src/main/kotlin/org/auburnlever/workload/Displacements.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/Displacements.kt
@@ -35,7 +35,11 @@
         displacement.hosts.forEach { it.free -= step.spec.reserved }
     }
 
-    private fun displace(step: WaitingStep, candidates: List<RoomOnWorker>, allowed: List<Displaceable>): Displacement? {
+    private fun displace(
+        step: WaitingStep,
+        candidates: List<RoomOnWorker>,
+        allowed: List<Displaceable>,
+    ): Displacement? {
         val victims = LinkedHashSet<Displaceable>()
         val hosts = ArrayList<RoomOnWorker>()
         val usable = candidates.filter(step::permits)
--- a/core/src/main/kotlin/org/auburnlever/workload/RunSettling.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/RunSettling.kt
@@ -7,7 +7,7 @@
         val run = TaskRun(id, task.run)
         val ref = task.worker
         if (ref != null && run !in runs && run !in settling) {
-            put(run, RunView(ref, answeredMillis = 0, progressMillis = state.nowMillis))
+            put(run, RunView(ref, answeredMillis = 0, progressMillis = 0))
             if (ref.id !in workers) put(freshView(ref))
         }
     }
--- a/core/src/main/kotlin/org/auburnlever/workload/WorkPlanner.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/WorkPlanner.kt
@@ -12,12 +12,30 @@
 ) {
     val assignments = ArrayList<Assignment>()
     val displaced = LinkedHashSet<TaskRun>()
+    private var heldGangs = 0
 
     /** Starts what fits of [step]; an urgent one gets the room that is missing as soon as other work has stopped. */
     fun consider(step: WaitingStep) {
         val placed = placeNow(step)
         if (placed.isNotEmpty()) assignments += Assignment(step.id, step.nextRun, placed)
-        if (step.priority == URGENT && placed.size < step.tasks.size) makeRoom(step, placed.size)
+        when {
+            placed.size == step.tasks.size -> Unit
+            step.priority == URGENT -> makeRoom(step, placed.size)
+            step.spec.gang && heldGangs < MAX_HELD_GANGS -> holdRoom(step)
+        }
+    }
+
+    /**
+     * Keeps the free room of the rack that lacks the least for a waiting gang. Without it, small tasks take each piece
+     * of room as it becomes free, and a gang that needs several whole workers never starts.
+     */
+    private fun holdRoom(step: WaitingStep) {
+        heldGangs += 1
+        val single = step.spec.copy(gang = false)
+        val parts = WaitingStep(step.job, step.id, single, step.tasks)
+        val best = choices(step).map { step.permitted(it) }
+            .maxByOrNull { candidates -> room.trial { room.place(parts, candidates).size } }
+        if (best != null) room.place(parts, best)
     }
 
     private fun placeNow(step: WaitingStep): Map<Int, WorkerRef> {
@@ -55,4 +73,9 @@
         displacements.take(missing, displacement)
         displaced += displacement.victims.flatMap { it.runs }.map { it.first }.filter { it !in stopping }
     }
+
+    private companion object {
+        /** Each waiting gang that is held leaves room idle, so only the next few are. */
+        const val MAX_HELD_GANGS = 2
+    }
 }
--- a/core/src/main/kotlin/org/auburnlever/workload/WorkerOrder.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/WorkerOrder.kt
@@ -23,8 +23,8 @@
     ) : WorkerOrder
 
     /**
-     * Extend the lease to [deadlineMillis] on the worker's clock unless that is null, forget ends up to [acknowledgedEnd], and list what
-     * runs and what ended; the answer waits up to [waitMillis] for an end.
+     * Extend the lease to [deadlineMillis] on the worker's clock unless that is null, forget ends up to
+     * [acknowledgedEnd], and list what runs and what ended; the answer waits up to [waitMillis] for an end.
      */
     data class Look(
         override val worker: WorkerRef,
--- a/core/src/test/kotlin/org/auburnlever/workload/CoordinatorTest.kt
+++ b/core/src/test/kotlin/org/auburnlever/workload/CoordinatorTest.kt
@@ -249,4 +249,27 @@
         val task = assertNotNull(workload.state.task(start.run.task))
         assertTrue(task.phase == TaskPhase.WAITING || task.run > start.run.run, "the first run was not given up")
     }
+
+    @Test
+    fun `an urgent run that stands still is stopped and its worker gets no new work`() {
+        run(coordinator.reported(report("1"), workload.nowMillis))
+        workload.submit("urgent", JOB, step(tasks = 1))
+        tick(afterMillis = 1_000)
+        val start = take<WorkerOrder.Start>()
+        answer(start, OrderAnswer.Done(clockMillis = 100_050))
+        repeat(4) {
+            tick(afterMillis = 1_000)
+            orders.filterIsInstance<WorkerOrder.Look>().forEach {
+                answer(it, listed(active = listOf(ActiveRun(start.run, "", percent = 7))))
+            }
+            orders.removeAll { it is WorkerOrder.Look }
+        }
+        workload.submit("routine", "00000000000000a2", step(tasks = 1))
+        tick(afterMillis = 500)
+        answer(take<WorkerOrder.Look>(), listed(active = listOf(ActiveRun(start.run, "", percent = 7))))
+        tick(afterMillis = 500)
+
+        assertEquals(start.run, take<WorkerOrder.Stop>().run)
+        assertTrue(orders.none { it is WorkerOrder.Start })
+    }
 }
--- a/core/src/test/kotlin/org/auburnlever/workload/Fixtures.kt
+++ b/core/src/test/kotlin/org/auburnlever/workload/Fixtures.kt
@@ -15,7 +15,9 @@
     policy = QueuePolicy(priority, maxAttempts, stretch = 2.0, targetLatencyMillis = 1_000),
 )
 
-internal fun catalog(version: Long = 1, queues: List<Queue> = listOf(queue("urgent", 0), queue("routine", 2))) = Catalog(
+private val QUEUES = listOf(queue("urgent", 0), queue("routine", 2))
+
+internal fun catalog(version: Long = 1, queues: List<Queue> = QUEUES) = Catalog(
     version = version,
     queues = queues,
     services = listOf(CatalogService(SERVICE, enforcesCapacity = true)),
@@ -75,8 +77,8 @@
         WorkloadCommand.Assign(listOf(Assignment(StepId(job, 0, step), run, workers.mapValues { ref(it.value) }))),
     )
 
-    fun end(job: String, index: Int, run: Int, kind: EndKind, checkpoint: String = "", step: Int = 0) =
-        apply(WorkloadCommand.RecordEnds(listOf(RunEnd(TaskRun(TaskId(job, 0, step, index), run), kind, checkpoint))))
+    fun end(job: String, index: Int, run: Int, kind: EndKind, checkpoint: String = "") =
+        apply(WorkloadCommand.RecordEnds(listOf(RunEnd(TaskRun(TaskId(job, 0, 0, index), run), kind, checkpoint))))
 
     fun job(id: String): JobRecord = state.jobs.getValue(id)
 }
--- a/core/src/test/kotlin/org/auburnlever/workload/WorkPlanTest.kt
+++ b/core/src/test/kotlin/org/auburnlever/workload/WorkPlanTest.kt
@@ -187,4 +187,18 @@
         assertEquals(8, displaced.size)
         assertEquals(1, hosts.size)
     }
+
+    @Test
+    fun `small tasks do not take the room that a waiting gang of higher priority needs`() {
+        workload.withCatalog(catalog(version = 2, queues = listOf(queue("gangs", 1), queue("routine", 2))))
+        val workers = listOf(report("1"), report("2"))
+        workload.submit("routine", "old", step(tasks = 1, accelerators = 8))
+        record(plan(workers))
+        workload.submit("gangs", "wide", step(tasks = 2, accelerators = 8, gang = true))
+        workload.submit("routine", "small", step(tasks = 4))
+        assertTrue(plan(workers).assignments.isEmpty())
+
+        workload.end("old", index = 0, run = 1, kind = EndKind.DONE)
+        assertEquals(listOf("wide"), plan(workers).assignments.map { it.step.job })
+    }
 }
--- a/node/src/main/kotlin/org/auburnlever/fleet/ControlHost.kt
+++ b/node/src/main/kotlin/org/auburnlever/fleet/ControlHost.kt
@@ -5,15 +5,12 @@
 import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.map
 import com.github.michaelbull.result.mapError
-import com.github.michaelbull.result.onSuccess
 import io.github.oshai.kotlinlogging.KotlinLogging
 import io.micrometer.core.instrument.MeterRegistry
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.cancel
-import kotlinx.coroutines.delay
-import kotlinx.coroutines.isActive
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.runBlocking
 import org.auburnlever.consensus.MembershipChange
@@ -23,7 +20,6 @@
 import org.auburnlever.consensus.voters
 import org.auburnlever.host.GroupRunner
 import org.auburnlever.host.GroupSurroundings
-import org.auburnlever.host.GroupView
 import org.auburnlever.host.HostClock
 import org.auburnlever.host.Submission
 import org.auburnlever.peer.GroupName
@@ -60,7 +56,10 @@
     private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
     private val end = CompletableFuture<Result<Unit, String>>()
     private val self = FleetPeers.peer(settings.self, settings.peerPort)
-    private val transport = PeerTransport(self, emptyList(), SharedKey(settings.sharedKey), Handler(), registry, ::fault)
+    private val transport =
+        PeerTransport(self, emptyList(), SharedKey(settings.sharedKey), Handler(), registry) { fault ->
+            fail("the peer links failed", fault)
+        }
     private val peers = FleetPeers(settings, transport)
 
     @Volatile
@@ -82,7 +81,10 @@
 
     /** Whether this host knows a leader that it can reach. */
     val inTouch: Boolean
-        get() = parts?.runner?.view?.leader.let { it != null && (it.host == self.host || it.host in reachable()) }
+        get() {
+            val leader = parts?.runner?.view?.leader?.host
+            return leader != null && (leader == self.host || leader in transport.reachable())
+        }
 
     /** Opens the log, links to the other hosts and takes part in the group. */
     fun start(): Result<Unit, String> {
@@ -96,7 +98,8 @@
                 runner.start()
                 runBlocking { transport.start() }
                 settings.founders.forEach(peers::dial)
-                scope.launch { upkeep(runner) }
+                val membership = FleetMembership(runner, peers, transport, settings, clock)
+                scope.launch { membership.keepUp() }
                 logger.info { "control host ${self.host} started as ${opened.replica}" }
             }
         } catch (e: IOException) {
@@ -132,45 +135,6 @@
         while (runner.view.isLeader && clock.nowMillis() < untilMillis) Thread.sleep(HAND_OVER_POLL_MILLIS)
     }
 
-    private fun reachable() = transport.reachable()
-
-    private suspend fun upkeep(runner: GroupRunner<WorkloadState, WorkloadReply>) {
-        while (scope.isActive) {
-            delay(UPKEEP_MILLIS)
-            val view = runner.view
-            if (view.role == null) {
-                askForAdmission(view.replica)
-            } else {
-                peers.replace(view.membership.roles.keys.map { it.host })
-            }
-            if (view.isLeader) changeVoters(runner, view)
-        }
-    }
-
-    /** A replica that is no member is new or has lost its disk; the leader admits it as a learner. */
-    private suspend fun askForAdmission(replica: ReplicaId) {
-        peers.refresh()
-        val hosts = (peers.members() + settings.founders).distinct().filter { it != self.host }
-        logger.info { "asking $hosts for admission of $replica" }
-        hosts.forEach { host ->
-            transport.call(host, PeerRequest.Admit(WORKLOAD_GROUP, replica), ADMISSION_LIMIT_MILLIS)
-                .onSuccess { if (it is PeerReply.Ok) logger.info { "$replica was admitted by $host" } }
-        }
-    }
-
-    private suspend fun changeVoters(
-        runner: GroupRunner<WorkloadState, WorkloadReply>,
-        view: GroupView<WorkloadState>,
-    ) {
-        val heard = view.peers.mapValues { it.value.heardMillis }
-        val wanted = settings.lostHosts * 2 + 1
-        val change = voterChange(view.membership, view.replica, heard, wanted, clock.nowMillis()) ?: return
-        val result = runner.change(change)
-        logger.info { "membership change $change: $result" }
-    }
-
-    private fun fault(cause: Throwable) = fail("the peer links failed", cause)
-
     private fun fail(message: String, cause: Throwable?) {
         logger.error(cause) { message }
         end.complete(Err(message))
@@ -210,9 +174,6 @@
     }
 
     private companion object {
-        const val UPKEEP_MILLIS = 500L
-        const val ADMISSION_LIMIT_MILLIS = 1_000L
-
         /** A transfer takes one round trip and an election; the others elect without it after 1 s. */
         const val HAND_OVER_LIMIT_MILLIS = 1_000L
         const val HAND_OVER_POLL_MILLIS = 20L
--- /dev/null
+++ b/node/src/main/kotlin/org/auburnlever/fleet/DecisionLog.kt
@@ -0,0 +1,31 @@
+package org.auburnlever.fleet
+
+import io.github.oshai.kotlinlogging.KotlinLogging
+import io.micrometer.core.instrument.MeterRegistry
+import org.auburnlever.workload.DecisionNote
+import org.auburnlever.workload.WorkerOrder
+import java.util.concurrent.TimeUnit
+
+private val logger = KotlinLogging.logger {}
+
+/** Writes one line for each decision of the leader and counts decisions and answers of workers. */
+internal class DecisionLog(private val registry: MeterRegistry) {
+    /** Writes [note], made by the leader of [term]. */
+    fun write(note: DecisionNote, term: Long) {
+        registry.counter("auburn.decisions", "event", note.event).increment()
+        logger.atInfo {
+            message = note.event
+            payload = note.details + mapOf("id" to note.id, "term" to term)
+        }
+    }
+
+    /** Records that the answer to [order] took [tookMillis]. */
+    fun answered(order: WorkerOrder, tookMillis: Long) {
+        val kind = when (order) {
+            is WorkerOrder.Start -> "start"
+            is WorkerOrder.Stop -> "stop"
+            is WorkerOrder.Look -> "look"
+        }
+        registry.timer("auburn.worker.order", "kind", kind).record(tookMillis, TimeUnit.MILLISECONDS)
+    }
+}
--- a/node/src/main/kotlin/org/auburnlever/fleet/WorkloadLeader.kt
+++ b/node/src/main/kotlin/org/auburnlever/fleet/WorkloadLeader.kt
@@ -2,7 +2,6 @@
 
 import io.github.oshai.kotlinlogging.KotlinLogging
 import io.micrometer.core.instrument.MeterRegistry
-import io.micrometer.core.instrument.Timer
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.launch
@@ -13,7 +12,6 @@
 import org.auburnlever.host.Submission
 import org.auburnlever.workload.Coordinator
 import org.auburnlever.workload.CoordinatorEffect
-import org.auburnlever.workload.DecisionNote
 import org.auburnlever.workload.ProposalTag
 import org.auburnlever.workload.StampedWorkloadCommand
 import org.auburnlever.workload.WorkerOrder
@@ -22,7 +20,6 @@
 import org.auburnlever.workload.WorkloadLimits
 import org.auburnlever.workload.WorkloadReply
 import org.auburnlever.workload.WorkloadState
-import java.util.concurrent.TimeUnit
 
 private val logger = KotlinLogging.logger {}
 
@@ -35,30 +32,20 @@
 internal class WorkloadLeader(
     private val runner: GroupRunner<WorkloadState, WorkloadReply>,
     private val workers: WorkerClient,
-    private val limits: WorkloadLimits,
+    limits: WorkloadLimits,
     private val scope: CoroutineScope,
     private val clock: HostClock,
-    private val registry: MeterRegistry,
+    registry: MeterRegistry,
 ) {
-    /** One term as leader; callbacks of an earlier one are dropped. */
-    private class Leadership(val term: Long, val readyIndex: Long) {
-        var coordinator: Coordinator? = null
-        var confirmedMillis = 0L
-        var nextConfirmationMillis = 0L
-        var nextTickMillis = 0L
-        var seenIndex = -1L
-    }
-
-    private var leadership: Leadership? = null
+    private val terms = LeadershipTerms(runner, limits, clock)
+    private val decisions = DecisionLog(registry)
 
     init {
         runner.afterBatch = { afterBatch(it) }
     }
 
     /** Whether this host leads and has applied all that was committed before its term. */
-    @Volatile
-    var leads = false
-        private set
+    val leads: Boolean get() = terms.ready
 
     /** Submits [command] at this replica. */
     suspend fun submit(command: WorkloadCommand): Submission<WorkloadReply> = propose(command).await()
@@ -72,7 +59,7 @@
     private suspend fun decide(decision: (Coordinator) -> List<CoordinatorEffect>): Boolean {
         val taken = CompletableDeferred<Boolean>()
         runner.execute {
-            val current = leadership
+            val current = terms.current
             val coordinator = current?.coordinator
             if (current != null && coordinator != null) carryOut(current, decision(coordinator))
             taken.complete(coordinator != null)
@@ -85,9 +72,9 @@
 
     private fun afterBatch(view: GroupView<WorkloadState>) {
         val nowMillis = clock.nowMillis()
-        val current = followLeadership(view, nowMillis) ?: return
+        val current = terms.follow(view, nowMillis) ?: return
         val coordinator = current.coordinator ?: return
-        if (nowMillis >= current.nextConfirmationMillis) confirm(current, nowMillis)
+        terms.confirmIfDue(current, nowMillis)
         val changed = view.appliedIndex != current.seenIndex
         if (changed) coordinator.changed(nowMillis)
         if (changed || nowMillis >= current.nextTickMillis) {
@@ -97,39 +84,11 @@
         }
     }
 
-    private fun followLeadership(view: GroupView<WorkloadState>, nowMillis: Long): Leadership? {
-        val known = leadership
-        if (!view.isLeader) {
-            if (known != null) logger.info { "leadership of term ${known.term} lost" }
-            leadership = null
-            leads = false
-            return null
-        }
-        val current = known?.takeIf { it.term == view.term } ?: Leadership(view.term, view.lastIndex)
-        leadership = current
-        if (current.coordinator == null && view.appliedIndex >= current.readyIndex) {
-            logger.info { "leading in term ${view.term} from index ${view.appliedIndex}" }
-            current.coordinator = Coordinator(view.term, nowMillis, limits)
-            leads = true
-        }
-        return current
-    }
-
-    /** Asks a majority whether this host still leads; leases are counted from the time of the question. */
-    private fun confirm(current: Leadership, nowMillis: Long) {
-        current.nextConfirmationMillis = nowMillis + CONFIRMATION_INTERVAL_MILLIS
-        val confirmation = runner.read()
-        confirmation.invokeOnCompletion { failure ->
-            val confirmed = failure == null && confirmation.getCompleted() is Submission.Applied
-            if (confirmed) runner.execute { current.confirmedMillis = maxOf(current.confirmedMillis, nowMillis) }
-        }
-    }
-
     private fun carryOut(current: Leadership, effects: List<CoordinatorEffect>) = effects.forEach { effect ->
         when (effect) {
             is CoordinatorEffect.Propose -> carryOut(current, effect)
             is CoordinatorEffect.Order -> send(current, effect.order)
-            is CoordinatorEffect.Note -> write(effect.note, current.term)
+            is CoordinatorEffect.Note -> decisions.write(effect.note, current.term)
         }
     }
 
@@ -144,7 +103,7 @@
         result: CompletableDeferred<Submission<WorkloadReply>>,
     ) {
         val coordinator = current.coordinator
-        if (current !== leadership || coordinator == null) return
+        if (current !== terms.current || coordinator == null) return
         val nowMillis = clock.nowMillis()
         val submission = result.getCompleted()
         val effects = if (submission is Submission.Applied) {
@@ -163,8 +122,8 @@
             runner.execute {
                 val coordinator = current.coordinator
                 val nowMillis = clock.nowMillis()
-                timer(order).record(nowMillis - sentMillis, TimeUnit.MILLISECONDS)
-                if (current === leadership && coordinator != null) {
+                decisions.answered(order, nowMillis - sentMillis)
+                if (current === terms.current && coordinator != null) {
                     val state = runner.view.state
                     carryOut(current, coordinator.answered(state, order, answer, sentMillis, nowMillis))
                 }
@@ -172,24 +131,7 @@
         }
     }
 
-    private fun timer(order: WorkerOrder): Timer = when (order) {
-        is WorkerOrder.Start -> registry.timer("auburn.worker.order", "kind", "start")
-        is WorkerOrder.Stop -> registry.timer("auburn.worker.order", "kind", "stop")
-        is WorkerOrder.Look -> registry.timer("auburn.worker.order", "kind", "look")
-    }
-
-    private fun write(note: DecisionNote, term: Long) {
-        registry.counter("auburn.decisions", "event", note.event).increment()
-        logger.atInfo {
-            message = note.event
-            payload = note.details + mapOf("id" to note.id, "term" to term)
-        }
-    }
-
     private companion object {
         const val TICK_MILLIS = 100L
-
-        /** Three questions fit into the time after which an unconfirmed leader stops ordering. */
-        const val CONFIRMATION_INTERVAL_MILLIS = 300L
     }
 }
--- a/node/src/main/kotlin/org/auburnlever/observe/LogSetup.kt
+++ b/node/src/main/kotlin/org/auburnlever/observe/LogSetup.kt
@@ -13,12 +13,6 @@
 import org.slf4j.Logger
 import org.slf4j.LoggerFactory
 
-/** Where log lines go. */
-enum class LogOutput(internal val target: String) {
-    STANDARD_OUTPUT("System.out"),
-    STANDARD_ERROR("System.err"),
-}
-
 /**
  * Replaces the process's log set-up: everything goes to [output], in the format that [settings] ask for.
  *
