Log what becomes of each job, and the room and the waiting jobs of the fleet

Cause: the logs named runs only. Who asked why a job was refused, canceled, failed or still waiting found no line with its id between the client's request and its first task.

--- a/core/src/main/kotlin/org/auburnlever/workload/Coordinator.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/Coordinator.kt
@@ -53,7 +53,7 @@
                 assigning = false
                 (reply as? WorkloadReply.Assigned)?.runs?.forEach { start(state, it, nowMillis) }
             }
-            is ProposalTag.Ends -> endsRecorded(tag)
+            is ProposalTag.Ends -> endsRecorded(state, tag)
             ProposalTag.Housekeeping -> Unit
         }
         nextPlanMillis = nowMillis
@@ -91,6 +91,7 @@
         if (nowMillis >= nextReviewMillis) {
             nextReviewMillis = nowMillis + REVIEW_INTERVAL_MILLIS
             noteUnsettled(settlesSinceMillis = nowMillis - REVIEW_INTERVAL_MILLIS, nowMillis)
+            noteFleet(state, demand.reserve(state.jobs.values), nowMillis)
         }
         if (nowMillis >= nextForgetMillis) {
             nextForgetMillis = nowMillis + FORGET_INTERVAL_MILLIS
--- a/core/src/test/kotlin/org/auburnlever/workload/ApplyWorkloadTest.kt
+++ b/core/src/test/kotlin/org/auburnlever/workload/ApplyWorkloadTest.kt
@@ -1,5 +1,6 @@
 package org.auburnlever.workload
 
+import org.auburnlever.codec.Codec
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertFalse
@@ -159,9 +160,7 @@
         workload.submit("routine", JOB, step(tasks = 2, gang = true), step(tasks = 1, dependsOn = listOf(0)))
         workload.assign(JOB, run = 1, workers = mapOf(0 to "1", 1 to "2"))
 
-        val decoded = org.auburnlever.codec.Codec.decode<WorkloadState>(
-            org.auburnlever.codec.Codec.encode(workload.state),
-        )
+        val decoded = Codec.decode<WorkloadState>(Codec.encode(workload.state))
         assertEquals(workload.state, decoded)
         assertNull(decoded.jobs["other"])
     }
--- a/node/src/main/kotlin/org/auburnlever/fleet/ControlHost.kt
+++ b/node/src/main/kotlin/org/auburnlever/fleet/ControlHost.kt
@@ -93,8 +93,9 @@
             openReplica(folder).map { (opened, founders) ->
                 val surroundings = Surroundings()
                 val runner = GroupRunner(WORKLOAD_GROUP, opened, founders, WorkloadMachine, surroundings, clock)
-                val leader = WorkloadLeader(runner, workers, settings.limits, scope, clock, registry)
-                parts = Parts(runner, leader, FleetAnswers(runner, leader))
+                val decisions = DecisionLog(registry)
+                val leader = WorkloadLeader(runner, workers, settings.limits, scope, clock, decisions)
+                parts = Parts(runner, leader, FleetAnswers(runner, leader, decisions))
                 runner.start()
                 runBlocking { transport.start() }
                 settings.founders.forEach(peers::dial)
--- a/node/src/main/kotlin/org/auburnlever/fleet/FleetAnswers.kt
+++ b/node/src/main/kotlin/org/auburnlever/fleet/FleetAnswers.kt
@@ -2,6 +2,7 @@
 
 import org.auburnlever.host.GroupRunner
 import org.auburnlever.host.Submission
+import org.auburnlever.workload.DecisionNote
 import org.auburnlever.workload.FleetAnswer
 import org.auburnlever.workload.FleetCall
 import org.auburnlever.workload.WorkloadCommand
@@ -14,14 +15,18 @@
 internal class FleetAnswers(
     private val runner: GroupRunner<WorkloadState, WorkloadReply>,
     private val leader: WorkloadLeader,
+    private val decisions: DecisionLog,
 ) {
     /** Answers [call] once it is durable, or from a state that is not older than the call. */
     suspend fun answer(call: FleetCall): Submission<FleetAnswer> {
         if (!leader.leads) return notLeader()
         return when (call) {
-            is FleetCall.SubmitJob -> submit(WorkloadCommand.AcceptJob(call.address, call.spec))
-            is FleetCall.CancelJob -> submit(WorkloadCommand.CancelJob(call.address))
-            is FleetCall.ChangeCatalog -> submit(WorkloadCommand.ChangeCatalog(call.catalog, call.document))
+            is FleetCall.SubmitJob ->
+                submit("job_submitted", call.address.path, WorkloadCommand.AcceptJob(call.address, call.spec))
+            is FleetCall.CancelJob ->
+                submit("job_cancel", call.address.path, WorkloadCommand.CancelJob(call.address))
+            is FleetCall.ChangeCatalog ->
+                submit("configuration", "${call.catalog.version}", call.toCommand())
             is FleetCall.ReadJob -> read { it.answer(call) }
             FleetCall.ReadCatalog -> read { FleetAnswer.Document(it.document) }
             is FleetCall.ReportWorker -> taken(leader.reported(call.report))
@@ -29,13 +34,25 @@
         }
     }
 
-    private suspend fun submit(command: WorkloadCommand): Submission<FleetAnswer> =
-        when (val result = leader.submit(command)) {
+    private suspend fun submit(event: String, id: String, command: WorkloadCommand): Submission<FleetAnswer> {
+        val result = leader.submit(command)
+        note(event, id.substringAfterLast('/'), result)
+        return when (result) {
             is Submission.Applied -> Submission.Applied(result.reply.toAnswer())
             is Submission.NotLeader -> result
             is Submission.Refused -> result
             is Submission.Undecided -> result
         }
+    }
+
+    /** Logs what became of a call, with the version of the desired state that decided it. */
+    private fun note(event: String, id: String, result: Submission<WorkloadReply>) {
+        val view = runner.view
+        val details = mapOf("outcome" to result, "configuration" to view.state.catalog?.version)
+        decisions.write(DecisionNote(event, id, details), view.term)
+    }
+
+    private fun FleetCall.ChangeCatalog.toCommand() = WorkloadCommand.ChangeCatalog(catalog, document)
 
     private fun WorkloadReply.toAnswer(): FleetAnswer = when (this) {
         is WorkloadReply.NotAdmitted -> FleetAnswer.NotAdmitted(reason)
--- a/node/src/main/kotlin/org/auburnlever/fleet/WorkloadLeader.kt
+++ b/node/src/main/kotlin/org/auburnlever/fleet/WorkloadLeader.kt
@@ -1,7 +1,6 @@
 package org.auburnlever.fleet
 
 import io.github.oshai.kotlinlogging.KotlinLogging
-import io.micrometer.core.instrument.MeterRegistry
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.launch
@@ -35,10 +34,9 @@
     limits: WorkloadLimits,
     private val scope: CoroutineScope,
     private val clock: HostClock,
-    registry: MeterRegistry,
+    private val decisions: DecisionLog,
 ) {
     private val terms = LeadershipTerms(runner, limits, clock)
-    private val decisions = DecisionLog(registry)
 
     init {
         runner.afterBatch = { afterBatch(it) }
