--- a/core/src/main/kotlin/org/auburnlever/workload/ApplyWorkload.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/ApplyWorkload.kt
@@ -24,9 +24,14 @@
 
 private fun WorkloadState.accept(command: WorkloadCommand.AcceptJob): AppliedWorkload = admit(command.address).mapBoth(
     { admitted ->
-        val known = admitted.rest in jobs
-        val next = if (known) this else with(newJob(admitted, command.spec))
-        AppliedWorkload(next, WorkloadReply.Done)
+        when {
+            admitted.rest in jobs -> AppliedWorkload(this, WorkloadReply.Done)
+            admitted.rest.isEmpty() || '/' in admitted.rest ->
+                AppliedWorkload(this, WorkloadReply.NotAdmitted(Inadmissible.NO_JOB))
+            admitted.queue.policy.needsAdvice ->
+                AppliedWorkload(this, WorkloadReply.NotAdmitted(Inadmissible.NEEDS_ADVICE))
+            else -> AppliedWorkload(with(newJob(admitted, command.spec)), WorkloadReply.Done)
+        }
     },
     { AppliedWorkload(this, WorkloadReply.NotAdmitted(it)) },
 )
--- a/core/src/main/kotlin/org/auburnlever/workload/WorkloadCommand.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/WorkloadCommand.kt
@@ -94,4 +94,14 @@
 
 /** Why a client's call is not admitted. */
 @Serializable
-enum class Inadmissible { NO_CATALOG, NO_QUEUE, BAD_KEY, NO_JOB }
+enum class Inadmissible {
+    NO_CATALOG,
+    NO_QUEUE,
+    BAD_KEY,
+
+    /** There is no such job, or the path can't name one. */
+    NO_JOB,
+
+    /** The queue's jobs need tickets of a policy service, which this version does not ask for. */
+    NEEDS_ADVICE,
+}
--- a/core/src/test/kotlin/org/auburnlever/workload/ApplyWorkloadTest.kt
+++ b/core/src/test/kotlin/org/auburnlever/workload/ApplyWorkloadTest.kt
@@ -164,4 +164,21 @@
         assertEquals(workload.state, decoded)
         assertNull(decoded.jobs["other"])
     }
+
+    @Test
+    fun `a path that names no job stores nothing`() {
+        val reply = workload.submit("routine", "below/$JOB", step(tasks = 1))
+
+        assertEquals(WorkloadReply.NotAdmitted(Inadmissible.NO_JOB), reply)
+        assertTrue(workload.state.jobs.isEmpty())
+    }
+
+    @Test
+    fun `a job that this version can never start is refused at once`() {
+        val advised = queue("advised", 1).let { it.copy(policy = it.policy.copy(needsAdvice = true)) }
+        workload.withCatalog(catalog(version = 2, queues = listOf(advised)))
+
+        val reply = workload.submit("advised", JOB, step(tasks = 1))
+        assertEquals(WorkloadReply.NotAdmitted(Inadmissible.NEEDS_ADVICE), reply)
+    }
 }
--- /dev/null
+++ b/node/src/test/kotlin/org/auburnlever/fleet/VoterChangeTest.kt
@@ -0,0 +1,56 @@
+package org.auburnlever.fleet
+
+import org.auburnlever.consensus.Membership
+import org.auburnlever.consensus.MembershipChange
+import org.auburnlever.consensus.ReplicaId
+import org.auburnlever.consensus.ReplicaRole
+import org.auburnlever.world.HostName
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertNull
+
+private const val NOW_MILLIS = 100_000L
+
+class VoterChangeTest {
+    private val hosts = List(4) { ReplicaId(HostName("10.0.0.$it"), incarnation = 1) }
+    private val self = hosts[0]
+    private val newcomer = hosts[3]
+    private val voters = hosts.take(3).associateWith { ReplicaRole.VOTER }
+
+    private fun change(
+        membership: Membership,
+        silent: Set<ReplicaId> = emptySet(),
+        wantedVoters: Int = 3,
+    ): MembershipChange? {
+        val heard = (membership.roles.keys - self).associateWith { NOW_MILLIS - if (it in silent) 9_000L else 50L }
+        return voterChange(membership, self, heard, wantedVoters, NOW_MILLIS)
+    }
+
+    private val withLearner = Membership(voters + (newcomer to ReplicaRole.LEARNER))
+
+    @Test
+    fun `a complete group changes nothing`() {
+        assertNull(change(Membership(voters)))
+        assertNull(change(withLearner))
+    }
+
+    @Test
+    fun `a learner that answers gets a vote while voters are missing`() {
+        assertEquals(MembershipChange.Promote(newcomer, ReplicaRole.VOTER), change(withLearner, wantedVoters = 5))
+        assertNull(change(withLearner, silent = setOf(newcomer), wantedVoters = 5))
+    }
+
+    @Test
+    fun `a voter that is gone makes room only when a learner can take its place`() {
+        assertEquals(MembershipChange.Remove(hosts[2]), change(withLearner, silent = setOf(hosts[2])))
+        assertNull(change(Membership(voters), silent = setOf(hosts[2])))
+        assertNull(change(withLearner, silent = setOf(hosts[2], newcomer)))
+    }
+
+    @Test
+    fun `a learner that replaces a wiped voter is left to the group, which promotes it by itself`() {
+        val replaced = Membership(withLearner.roles, promotions = mapOf(newcomer to ReplicaRole.VOTER))
+
+        assertNull(change(replaced, wantedVoters = 5))
+    }
+}
