Index displaceable work by worker; use one translation of submissions to peer replies

Cause: each missing task looked at all displaceable work for each worker, which grows with the square of the fleet; the translation stood twice.

Change: the work is grouped by worker once for each step. Names that were figurative are replaced.

--- a/core/src/main/kotlin/org/auburnlever/workload/Displacements.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/Displacements.kt
@@ -20,32 +20,35 @@
     private val stopping: Set<TaskRun>,
     private val nowMillis: Long,
 ) {
-    private val spoken = HashSet<Displaceable>()
+    private val claimed = HashSet<Displaceable>()
     private val units = jobs.flatMap { job -> job.units() }
 
     /** The cheapest displacement for [step] on one of [choices]; null if none makes enough room. */
     fun find(step: WaitingStep, choices: List<List<RoomOnWorker>>): Displacement? {
-        val allowed = units.filter { unit -> unit !in spoken && unit.mayYieldTo(step) }
+        val allowed = units.filter { it !in claimed && it.mayYieldTo(step) }.sortedBy { it.costMillis }.byWorker()
         return choices.mapNotNull { room.trial { displace(step, it, allowed) } }.minByOrNull { it.costMillis }
     }
 
     /** Keeps the room of [displacement] for [step]; it goes below zero until the victims have ended. */
     fun take(step: WaitingStep, displacement: Displacement) {
-        spoken += displacement.victims
+        claimed += displacement.victims
         displacement.hosts.forEach { it.free -= step.spec.reserved }
     }
 
     private fun displace(
         step: WaitingStep,
         candidates: List<RoomOnWorker>,
-        allowed: List<Displaceable>,
+        allowed: Map<String, List<Displaceable>>,
     ): Displacement? {
         val victims = LinkedHashSet<Displaceable>()
         val hosts = ArrayList<RoomOnWorker>()
         val usable = candidates.filter(step::permits)
         repeat(step.tasks.size) {
             val (host, chosen) = usable
-                .mapNotNull { worker -> worker.freedFor(step, allowed.filter { it !in victims })?.let { worker to it } }
+                .mapNotNull { worker ->
+                    val offered = allowed[worker.ref.id].orEmpty().filter { it !in victims }
+                    worker.freedFor(step, offered)?.let { worker to it }
+                }
                 .minByOrNull { (_, chosen) -> chosen.sumOf { it.costMillis } }
                 ?: return null
             chosen.forEach(::release)
@@ -56,12 +59,12 @@
         return Displacement(victims, hosts)
     }
 
-    /** Units to stop so that one more task fits on this worker; null if it doesn't fit whatever is stopped. */
-    private fun RoomOnWorker.freedFor(step: WaitingStep, allowed: List<Displaceable>): List<Displaceable>? {
+    /** Units of [offered] to stop so that one more task fits on this worker; null if it doesn't fit whatever stops. */
+    private fun RoomOnWorker.freedFor(step: WaitingStep, offered: List<Displaceable>): List<Displaceable>? {
         val need = step.spec.reserved
         val chosen = ArrayList<Displaceable>()
         var freed = free
-        for (unit in allowed.filter { it.usedOn(this) != Resources.NONE }.sortedBy { it.costMillis }) {
+        for (unit in offered) {
             if (freed.holds(need)) break
             chosen += unit
             freed += unit.usedOn(this)
@@ -77,6 +80,10 @@
         return chosen
     }
 
+    private fun List<Displaceable>.byWorker(): Map<String, List<Displaceable>> =
+        flatMap { unit -> unit.runs.map { it.second.id }.distinct().map { it to unit } }
+            .groupBy({ it.first }, { it.second })
+
     private fun Displaceable.usedOn(worker: RoomOnWorker): Resources =
         need * runs.count { it.second.id == worker.ref.id }
 
--- a/core/src/main/kotlin/org/auburnlever/workload/WorkerLooks.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/WorkerLooks.kt
@@ -71,7 +71,7 @@
     if (fresh.isEmpty()) return
     val ends = fresh.map { it.end }
     val through = fresh.maxOf { it.number }
-    put(judge(view, ends, nowMillis).copy(endsInFlight = through))
+    put(countFailures(view, ends, nowMillis).copy(endsInFlight = through))
     ends.forEach { end -> note("task_ended", end.run.toString(), "worker" to worker.id, "how" to end.kind) }
     recordEnds(ends, worker.id, through)
 }
--- a/core/src/main/kotlin/org/auburnlever/workload/WorkerNews.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/WorkerReports.kt
@@ -37,7 +37,7 @@
 }
 
 /** Counts failures and suspends a worker on which two jobs in a row failed; one job alone may be at fault itself. */
-internal fun LeaderMemory.judge(view: WorkerView, ends: List<RunEnd>, nowMillis: Long): WorkerView {
+internal fun LeaderMemory.countFailures(view: WorkerView, ends: List<RunEnd>, nowMillis: Long): WorkerView {
     val succeeded = ends.any { it.kind == EndKind.DONE }
     val failed = ends.filter { it.kind == EndKind.FAILED }.map { it.run.task.job }.toSet()
     val jobs = if (succeeded) failed else view.failedJobs + failed
--- a/node/src/main/kotlin/org/auburnlever/fleet/ControlHost.kt
+++ b/node/src/main/kotlin/org/auburnlever/fleet/ControlHost.kt
@@ -22,6 +22,7 @@
 import org.auburnlever.host.GroupSurroundings
 import org.auburnlever.host.HostClock
 import org.auburnlever.host.Submission
+import org.auburnlever.host.toReply
 import org.auburnlever.peer.GroupName
 import org.auburnlever.peer.PeerMessage
 import org.auburnlever.peer.PeerReply
@@ -180,10 +181,3 @@
         const val HAND_OVER_POLL_MILLIS = 20L
     }
 }
-
-private fun <T> Submission<T>.toReply(applied: (T) -> PeerReply): PeerReply = when (this) {
-    is Submission.Applied -> applied(reply)
-    is Submission.NotLeader -> PeerReply.NotLeader(leader)
-    is Submission.Refused -> PeerReply.NotDone(message)
-    is Submission.Undecided -> PeerReply.Undecided(message)
-}
--- a/node/src/main/kotlin/org/auburnlever/host/PeerCalls.kt
+++ b/node/src/main/kotlin/org/auburnlever/host/PeerCalls.kt
@@ -82,7 +82,7 @@
 }
 
 /** A group that this host keeps no replica of, null here, is answered like one that it does not lead. */
-private fun <T> Submission<T>?.toReply(applied: (T) -> PeerReply): PeerReply = when (this) {
+internal fun <T> Submission<T>?.toReply(applied: (T) -> PeerReply): PeerReply = when (this) {
     null -> PeerReply.NotLeader(null)
     is Submission.Applied -> applied(reply)
     is Submission.NotLeader -> PeerReply.NotLeader(leader)
