Write the queued log lines before a process ends

The test read the output before the line was written.

Change: closeLogging writes the waiting lines, for a second at most, and the daemons call it last. The test calls it before it reads; what it checks is unchanged.

--- a/auburnd/src/main/kotlin/org/auburnlever/daemon/Main.kt
+++ b/auburnd/src/main/kotlin/org/auburnlever/daemon/Main.kt
@@ -4,6 +4,7 @@
 import com.github.michaelbull.result.flatMap
 import org.auburnlever.host.Host
 import org.auburnlever.host.formatHost
+import org.auburnlever.observe.closeLogging
 import org.auburnlever.settings.Settings
 import kotlin.system.exitProcess
 
@@ -17,7 +18,9 @@
     val host = Host(settings, sharedKey)
     val onSignal = Thread {
         // Without halt the process would end with the signal's exit code, as if it had been interrupted.
-        if (host.shutdown()) Runtime.getRuntime().halt(ExitCode.SUCCESS.code)
+        val ended = host.shutdown()
+        closeLogging()
+        if (ended) Runtime.getRuntime().halt(ExitCode.SUCCESS.code)
     }
     Runtime.getRuntime().addShutdownHook(onSignal)
     return host.start().flatMap { host.awaitEnd() }
--- a/node/src/main/kotlin/org/auburnlever/observe/LogSetup.kt
+++ b/node/src/main/kotlin/org/auburnlever/observe/LogSetup.kt
@@ -22,6 +22,7 @@
 fun configureLogging(settings: LogSettings, output: LogOutput = LogOutput.STANDARD_ERROR) {
     val context = LoggerFactory.getILoggerFactory() as LoggerContext
     context.reset()
+    context.start()
     val appender = ConsoleAppender<ILoggingEvent>().apply {
         this.context = context
         name = "console"
@@ -45,6 +46,9 @@
     LIBRARIES.forEach { context.getLogger(it).level = Level.WARN }
 }
 
+/** Writes the lines that wait, for a second at most, and ends logging; call it last before the process ends. */
+fun closeLogging() = (LoggerFactory.getILoggerFactory() as LoggerContext).stop()
+
 private fun encoder(context: LoggerContext, format: LogFormat): Encoder<ILoggingEvent> =
     when (format) {
         LogFormat.TEXT -> PatternLayoutEncoder().apply {
--- a/node/src/test/kotlin/org/auburnlever/observe/ObserveServicesTest.kt
+++ b/node/src/test/kotlin/org/auburnlever/observe/ObserveServicesTest.kt
@@ -96,7 +96,7 @@
         assertEquals("""{"part":7}""", get("/v1/dump", token = "secret").contentUtf8())
     }
 
-    /** Guards against log lines that a collector can't parse. */
+    /** Guards against log lines that a collector can't parse, and against lines lost when the process ends. */
     @Test
     fun `logs are text or one JSON object a line`() {
         val lines = listOf(LogFormat.TEXT, LogFormat.JSON).map { logged(it) }
@@ -116,6 +116,7 @@
             val logger = LoggerFactory.getLogger("org.auburnlever.Sample")
             logger.debug("not shown")
             logger.warn("disk is {}% full", 95)
+            closeLogging()
         } finally {
             System.setErr(original)
             (LoggerFactory.getILoggerFactory() as LoggerContext).reset()
