Correct a comment on stored tasks and remove an unused property

Cause: read as a newcomer, the comment of WorkloadState.task described something else, and Coordinator.workerViews had no user. Change: the comment says what is returned; the property is gone.

--- a/core/src/main/kotlin/org/auburnlever/workload/Coordinator.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/Coordinator.kt
@@ -14,9 +14,6 @@
     private var nextForgetMillis = electedMillis
     private var nextReviewMillis = electedMillis + REVIEW_INTERVAL_MILLIS
 
-    /** The workers as they are known now. */
-    val workerViews: Collection<WorkerView> get() = memory.workers.values
-
     /** Takes a worker's report; an older one than the newest known is ignored. */
     fun reported(report: WorkerReport, nowMillis: Long): List<CoordinatorEffect> =
         memory.collect { takeReport(report, nowMillis) }
--- a/core/src/main/kotlin/org/auburnlever/workload/WorkloadState.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/WorkloadState.kt
@@ -20,6 +20,6 @@
     val jobs: PersistentMap<String, JobRecord> = persistentMapOf(),
     val nowMillis: Long = 0,
 ) {
-    /** Jobs that still run or wait, and ended ones that have tasks at workers. */
+    /** The task [id]; null if its job is not stored or has no such task. */
     fun task(id: TaskId): TaskRecord? = jobs[id.job]?.task(id)
 }
