--- a/core/src/main/kotlin/org/auburnlever/wire/WorkerHeartbeat.kt
+++ b/core/src/main/kotlin/org/auburnlever/wire/WorkerHeartbeat.kt
@@ -7,9 +7,12 @@
 import org.auburnlever.world.WorkerName
 
 /**
- * What a worker reports at least each second: itself and every task that it holds.
+ * What a worker reports at least each second: itself and its tasks.
  *
  * [epochMillis] is the worker's start by its own clock; a new epoch means that all earlier tasks are gone.
+ *
+ * @property basedOn sequence of an answered heartbeat; then [tasks] lists only tasks whose reports changed since that
+ * one, apart from a growing checkpoint age, and [dropped] the tasks that it no longer holds. Null for a complete list.
  */
 @Serializable
 data class WorkerHeartbeat(
@@ -24,8 +27,14 @@
     val memoryMiB: Long,
     val tasks: List<TaskReport> = emptyList(),
     val draining: Boolean = false,
+    val basedOn: Long? = null,
+    val dropped: List<DroppedTask> = emptyList(),
 )
 
+/** A placement of a task that a worker has forgotten. */
+@Serializable
+data class DroppedTask(val jobId: String, val taskIndex: Int, val token: Long)
+
 /** State of a task as its worker sees it. */
 @Serializable
 enum class TaskStatus {
@@ -65,9 +74,14 @@
     val error: String? = null,
 )
 
-/** Answer to a [WorkerHeartbeat]: the lease, counted from the moment the worker sent the heartbeat, and orders. */
+/**
+ * Answer to a [WorkerHeartbeat]: the lease, counted from the moment the worker sent the heartbeat, and orders.
+ *
+ * [completeWanted] asks for a heartbeat with all tasks: the leader does not know the one that this was based on. It
+ * renews no lease, since nothing was taken from the heartbeat.
+ */
 @Serializable
-data class HeartbeatReply(val leaseMillis: Long, val orders: List<TaskOrder>)
+data class HeartbeatReply(val leaseMillis: Long, val orders: List<TaskOrder>, val completeWanted: Boolean = false)
 
 /** What a worker is told to do. Orders with a token below the newest one seen for the job are ignored. */
 @Serializable
--- a/node/src/main/kotlin/org/auburnlever/entry/WorkerHeartbeatService.kt
+++ b/node/src/main/kotlin/org/auburnlever/entry/WorkerHeartbeatService.kt
@@ -68,6 +68,8 @@
     cores !in 1..MAX_CORES -> "cores $cores is not within 1..$MAX_CORES"
     memoryMiB !in 1..MAX_MEMORY_MIB -> "memoryMiB $memoryMiB is not within 1..$MAX_MEMORY_MIB"
     epochMillis < 0 || sequence < 0 -> "epochMillis and sequence must not be negative"
+    basedOn != null && basedOn !in 0 until sequence -> "basedOn $basedOn is not an earlier heartbeat's sequence"
+    basedOn == null && dropped.isNotEmpty() -> "dropped is set without basedOn"
     else -> null
 }
 
--- a/node/src/main/kotlin/org/auburnlever/host/LedgerGroup.kt
+++ b/node/src/main/kotlin/org/auburnlever/host/LedgerGroup.kt
@@ -8,6 +8,7 @@
 import org.auburnlever.ledger.LedgerReply
 import org.auburnlever.ledger.LedgerState
 import org.auburnlever.ledger.StampedCommand
+import org.auburnlever.ledger.complete
 import org.auburnlever.ledger.heartbeat
 import org.auburnlever.ledger.tick
 import org.auburnlever.peer.LedgerQuery
@@ -63,10 +64,15 @@
             return
         }
         val nowMillis = clock.nowMillis()
-        val step = heartbeat(runner.view.state, soft, heartbeat, nowMillis)
+        val complete = soft.complete(heartbeat, nowMillis)
+        if (complete == null) {
+            reply.complete(HeartbeatReply(leaseMillis = 0, orders = emptyList(), completeWanted = true))
+            return
+        }
+        val step = heartbeat(runner.view.state, soft, complete, nowMillis)
         leader = step.leader
         step.commands.forEach { runner.propose(stamp(it)) }
-        held.add(heartbeat, nowMillis, reply)
+        held.add(complete, nowMillis, reply)
         // Orders that already wait are found after this batch, although no entry is applied by it.
         seenIndex = -1
     }
--- a/standin/src/main/kotlin/org/auburnlever/standin/StandInWorker.kt
+++ b/standin/src/main/kotlin/org/auburnlever/standin/StandInWorker.kt
@@ -60,6 +60,8 @@
         schedule = schedule.answered(monotonicMillis(), succeeded = reply != null)
         if (reply != null) {
             answered++
+            state = state.copy(sent = state.sent.answered(heartbeat.sequence, reply))
+            if (reply.completeWanted) schedule = schedule.wanted()
             take(WorkerTime.answered(state, HeartbeatAnswer(reply, heartbeat.sequence, sentAt), monotonicMillis()))
         }
     }
--- a/standin/src/main/kotlin/org/auburnlever/standin/WorkerState.kt
+++ b/standin/src/main/kotlin/org/auburnlever/standin/WorkerState.kt
@@ -49,6 +49,7 @@
     val answeredSequence: Long = 0,
     val tasks: Map<TaskId, WorkerTask> = emptyMap(),
     val newestTokens: Map<String, Long> = emptyMap(),
+    val sent: SentReports = SentReports(),
 ) {
     /** Says whether the worker may run tasks at [nowMillis]. */
     fun holdsLease(nowMillis: Long): Boolean = leaseEndsMillis != null && nowMillis < leaseEndsMillis
@@ -71,21 +72,23 @@
 
     /** Returns the state with the next sequence number and the heartbeat that carries it. */
     fun nextHeartbeat(nowMillis: Long): Pair<WorkerState, WorkerHeartbeat> {
-        val next = copy(sequence = sequence + 1)
-        return next to WorkerHeartbeat(
-            worker = WorkerName(settings.name),
-            failureDomain = DomainName(settings.failureDomain),
-            rack = RackName(settings.rack),
-            positionInRack = settings.positionInRack,
-            epochMillis = epochMillis,
-            sequence = next.sequence,
-            acceleratorCount = settings.accelerators,
-            cores = settings.cores,
-            memoryMiB = settings.memoryMiB,
-            tasks = reports(nowMillis),
-            draining = behaviour.draining,
-        )
+        val (told, heartbeat) = sent.send(completeHeartbeat(nowMillis), nowMillis)
+        return copy(sequence = heartbeat.sequence, sent = told) to heartbeat
     }
+
+    private fun completeHeartbeat(nowMillis: Long) = WorkerHeartbeat(
+        worker = WorkerName(settings.name),
+        failureDomain = DomainName(settings.failureDomain),
+        rack = RackName(settings.rack),
+        positionInRack = settings.positionInRack,
+        epochMillis = epochMillis,
+        sequence = sequence + 1,
+        acceleratorCount = settings.accelerators,
+        cores = settings.cores,
+        memoryMiB = settings.memoryMiB,
+        tasks = reports(nowMillis),
+        draining = behaviour.draining,
+    )
 }
 
 /** The state after an input, and the changes of tasks that the input caused, with a reason each. */
--- /dev/null
+++ b/standin/src/test/kotlin/org/auburnlever/standin/SentReportsTest.kt
@@ -0,0 +1,102 @@
+package org.auburnlever.standin
+
+import org.auburnlever.ledger.LeaderState
+import org.auburnlever.ledger.SeenWorker
+import org.auburnlever.ledger.complete
+import org.auburnlever.wire.HeartbeatReply
+import org.auburnlever.wire.TaskReport
+import org.auburnlever.wire.TaskStatus
+import org.auburnlever.wire.WorkerHeartbeat
+import kotlin.random.Random
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+
+class SentReportsTest {
+    private val reply = HeartbeatReply(leaseMillis = 10_000, orders = emptyList())
+
+    private fun template() = worker().nextHeartbeat(nowMillis = 0).second
+
+    private fun task(index: Int) = TaskReport("job", index, token = 1, TaskStatus.RUNNING, usedMilliCores = 1_000)
+
+    /** Guards against heartbeats that repeat every task each second, which was 3 KB/s for a busy worker. */
+    @Test
+    fun `a heartbeat without news lists no tasks`() {
+        val tasks = List(17) { task(it) }
+        val (sent, first) = SentReports().send(template().copy(sequence = 1, tasks = tasks), nowMillis = 0)
+        assertEquals(tasks, first.tasks)
+        val (_, second) = sent.answered(1, reply).send(template().copy(sequence = 2, tasks = tasks), nowMillis = 1_000)
+        assertEquals(emptyList(), second.tasks)
+        assertEquals(1, second.basedOn)
+    }
+
+    /** Guards against a new leader that never gets the whole list. */
+    @Test
+    fun `all tasks are listed when the leader asks for them`() {
+        val tasks = listOf(task(0))
+        val (sent, _) = SentReports().send(template().copy(sequence = 1, tasks = tasks), nowMillis = 0)
+        val (next, reduced) = sent.answered(1, reply).send(template().copy(sequence = 2, tasks = tasks), 1_000)
+        assertEquals(1, reduced.basedOn)
+        val wanted = HeartbeatReply(leaseMillis = 0, orders = emptyList(), completeWanted = true)
+        val (_, complete) = next.answered(2, wanted).send(template().copy(sequence = 3, tasks = tasks), 1_100)
+        assertEquals(null, complete.basedOn)
+        assertEquals(tasks, complete.tasks)
+    }
+
+    /** Guards against a leader whose picture of a worker drifts while answers are lost and leaders change. */
+    @Test
+    fun `a leader that completes heartbeats knows every task as it is`() {
+        repeat(SCHEDULES) { seed -> Schedule(Random(seed)).run() }
+    }
+
+    private inner class Schedule(private val random: Random) {
+        private var sent = SentReports()
+        private var leader = LeaderState(electedMillis = 0)
+        private var tasks = emptyMap<Int, TaskReport>()
+
+        fun run() {
+            var completed = 0
+            for (sequence in 1L..STEPS) {
+                change()
+                val full = template().copy(sequence = sequence, tasks = tasks.values.toList())
+                val (next, heartbeat) = sent.send(full, sequence)
+                sent = next
+                if (random.nextInt(PERCENT) < LOST_PERCENT) continue
+                if (random.nextInt(PERCENT) < ELECTION_PERCENT) leader = LeaderState(electedMillis = sequence)
+                if (take(full, heartbeat, sequence)) completed++
+            }
+            assertTrue(completed > STEPS / 2)
+        }
+
+        private fun take(full: WorkerHeartbeat, heartbeat: WorkerHeartbeat, nowMillis: Long): Boolean {
+            val complete = leader.complete(heartbeat, nowMillis)
+            if (complete == null) {
+                sent = sent.answered(full.sequence, reply.copy(leaseMillis = 0, completeWanted = true))
+                return false
+            }
+            assertEquals(full.tasks.toSet(), complete.tasks.toSet(), "heartbeat ${full.sequence}")
+            val seen = SeenWorker(nowMillis, full.epochMillis, full.sequence, complete.tasks)
+            leader = leader.copy(workers = leader.workers.put(full.worker, seen))
+            if (random.nextInt(PERCENT) >= LOST_PERCENT) sent = sent.answered(full.sequence, reply)
+            return true
+        }
+
+        private fun change() = repeat(random.nextInt(3)) {
+            val index = random.nextInt(TASKS)
+            tasks = when (random.nextInt(3)) {
+                0 -> tasks - index
+                1 -> tasks + (index to task(index))
+                else -> tasks + (index to task(index).copy(status = TaskStatus.STOPPED))
+            }
+        }
+    }
+
+    private companion object {
+        const val SCHEDULES = 200
+        const val STEPS = 60L
+        const val TASKS = 6
+        const val PERCENT = 100
+        const val LOST_PERCENT = 20
+        const val ELECTION_PERCENT = 8
+    }
+}
