--- a/node/src/main/kotlin/org/auburnlever/fleet/VoterChange.kt
+++ b/node/src/main/kotlin/org/auburnlever/fleet/VoterChange.kt
@@ -6,8 +6,11 @@
 import org.auburnlever.consensus.ReplicaRole
 import org.auburnlever.consensus.voters
 
-/** A voter that has not answered for this long may be replaced by a learner that does; a restart takes less. */
-internal const val VOTER_LOSS_MILLIS = 8_000L
+/**
+ * A voter that has not answered for this long may be replaced by a learner that does. The operators count a successor
+ * as sound 4 s after its start, and another host may be lost from then on, so the group must be complete by then.
+ */
+internal const val VOTER_LOSS_MILLIS = 4_000L
 
 /**
  * The next change of the voters, or null if none is due.
--- a/node/src/test/kotlin/org/auburnlever/fleet/VoterChangeTest.kt
+++ b/node/src/test/kotlin/org/auburnlever/fleet/VoterChangeTest.kt
@@ -21,8 +21,10 @@
         membership: Membership,
         silent: Set<ReplicaId> = emptySet(),
         wantedVoters: Int = 3,
+        silentForMillis: Long = 9_000L,
     ): MembershipChange? {
-        val heard = (membership.roles.keys - self).associateWith { NOW_MILLIS - if (it in silent) 9_000L else 50L }
+        val heard = (membership.roles.keys - self)
+            .associateWith { NOW_MILLIS - if (it in silent) silentForMillis else 50L }
         return voterChange(membership, self, heard, wantedVoters, NOW_MILLIS)
     }
 
@@ -47,6 +49,14 @@
         assertNull(change(withLearner, silent = setOf(hosts[2], newcomer)))
     }
 
+    /** Guards against a second loss that meets a group which still counts a host that is gone for good. */
+    @Test
+    fun `a voter is replaced before the operators count its successor as sound`() {
+        val gone = setOf(hosts[2])
+        assertEquals(MembershipChange.Remove(hosts[2]), change(withLearner, gone, silentForMillis = 4_100))
+        assertNull(change(withLearner, gone, silentForMillis = 3_000))
+    }
+
     @Test
     fun `a learner that replaces a wiped voter is left to the group, which promotes it by itself`() {
         val replaced = Membership(withLearner.roles, promotions = mapOf(newcomer to ReplicaRole.VOTER))
