--- a/core/src/main/kotlin/org/auburnlever/workload/ApplyWorkload.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/ApplyWorkload.kt
@@ -11,11 +11,19 @@
         is WorkloadCommand.AcceptJob -> current.accept(command)
         is WorkloadCommand.CancelJob -> current.cancel(command)
         is WorkloadCommand.Assign -> current.assign(command)
-        is WorkloadCommand.RecordEnds -> AppliedWorkload(current.record(command.ends), WorkloadReply.Done)
+        is WorkloadCommand.RecordEnds -> current.recorded(command.ends)
         is WorkloadCommand.ForgetJobs -> AppliedWorkload(current.forget(command), WorkloadReply.Done)
     }
 }
 
+private fun WorkloadState.recorded(ends: List<RunEnd>): AppliedWorkload {
+    val next = record(ends)
+    val ended = ends.map { it.run.task.job }.distinct().filter {
+        jobs[it]?.phase == JobPhase.ACTIVE && next.jobs[it]?.phase != JobPhase.ACTIVE
+    }
+    return AppliedWorkload(next, WorkloadReply.Recorded(ended))
+}
+
 private fun WorkloadState.change(command: WorkloadCommand.ChangeCatalog): AppliedWorkload {
     val newer = command.catalog.version > (catalog?.version ?: Long.MIN_VALUE)
     val next = if (newer) copy(catalog = command.catalog, document = command.document) else this
--- a/core/src/main/kotlin/org/auburnlever/workload/Coordinator.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/Coordinator.kt
@@ -50,7 +50,8 @@
                 assigning = false
                 (reply as? WorkloadReply.Assigned)?.runs?.forEach { start(state, it, nowMillis) }
             }
-            is ProposalTag.Ends -> endsRecorded(state, tag)
+            is ProposalTag.Ends ->
+                endsRecorded(state, tag, (reply as? WorkloadReply.Recorded)?.endedJobs.orEmpty())
             ProposalTag.Housekeeping -> Unit
         }
         nextPlanMillis = nowMillis
--- a/core/src/main/kotlin/org/auburnlever/workload/RunSettling.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/RunSettling.kt
@@ -43,10 +43,9 @@
 }
 
 /** The ends of a proposal are recorded, so they can be acknowledged to their worker. */
-internal fun LeaderMemory.endsRecorded(state: WorkloadState, tag: ProposalTag.Ends) {
+internal fun LeaderMemory.endsRecorded(state: WorkloadState, tag: ProposalTag.Ends, endedJobs: List<String>) {
     settled(tag.runs)
-    tag.runs.map { it.task.job }.distinct().mapNotNull { state.jobs[it] }
-        .filter { it.phase != JobPhase.ACTIVE }
+    endedJobs.mapNotNull { state.jobs[it] }
         .forEach { note("job_ended", it.id, "phase" to it.phase, "queue" to it.queue, "account" to it.account) }
     val view = tag.workerId?.let { workers[it] } ?: return
     put(view.copy(acknowledgedEnd = maxOf(view.acknowledgedEnd, tag.throughEnd), endsInFlight = 0))
--- a/core/src/main/kotlin/org/auburnlever/workload/WorkloadCommand.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/WorkloadCommand.kt
@@ -86,6 +86,11 @@
     @SerialName("assigned")
     data class Assigned(val runs: List<TaskRun>) : WorkloadReply
 
+    /** Ends are recorded; [endedJobs] are the jobs that ended with them. */
+    @Serializable
+    @SerialName("recorded")
+    data class Recorded(val endedJobs: List<String>) : WorkloadReply
+
     /** The call was not admitted and had no effect. */
     @Serializable
     @SerialName("not_admitted")
--- a/core/src/test/kotlin/org/auburnlever/workload/CoordinatorTest.kt
+++ b/core/src/test/kotlin/org/auburnlever/workload/CoordinatorTest.kt
@@ -13,13 +13,14 @@
     private val workload = Workload(nowMillis = 10_000).withCatalog()
     private val coordinator = Coordinator(TERM, electedMillis = 10_000, limits)
     private val orders = ArrayList<WorkerOrder>()
+    private val notes = ArrayList<DecisionNote>()
 
     /** Carries out proposals at once and collects orders, as the driver of a group of one would. */
     private fun run(effects: List<CoordinatorEffect>) {
         effects.forEach { effect ->
             when (effect) {
                 is CoordinatorEffect.Order -> orders += effect.order
-                is CoordinatorEffect.Note -> Unit
+                is CoordinatorEffect.Note -> notes += effect.note
                 is CoordinatorEffect.Propose -> {
                     val reply = workload.apply(effect.command)
                     run(coordinator.applied(workload.state, effect.tag, reply, workload.nowMillis))
@@ -272,4 +273,27 @@
         assertEquals(start.run, take<WorkerOrder.Stop>().run)
         assertTrue(orders.none { it is WorkerOrder.Start })
     }
+
+    /** Guards against a log in which one job seems to end several times, as its ends are recorded in batches. */
+    @Test
+    fun `the end of a job is logged once`() {
+        val first = startJob(step(tasks = 2))
+        val second = take<WorkerOrder.Start>()
+        listOf(first, second).forEach { answer(it, OrderAnswer.Done(clockMillis = 100_050)) }
+        val ends = listOf(first, second).mapIndexed { index, start ->
+            NumberedEnd(index + 1L, RunEnd(start.run, EndKind.DONE, ""))
+        }
+        // Both looks were answered before either proposal was applied.
+        val effects = ends.indices.flatMap { index ->
+            val look = WorkerOrder.Look(first.worker, TERM, 0, deadlineMillis = null, waitMillis = 0)
+            val nowMillis = workload.nowMillis
+            val answer = listed(ended = ends.take(index + 1))
+            coordinator.answered(workload.state, look, answer, nowMillis - 10, nowMillis)
+        }
+        val proposals = effects.filterIsInstance<CoordinatorEffect.Propose>()
+        val replies = proposals.map { it.tag to workload.apply(it.command) }
+        replies.forEach { (tag, reply) -> run(coordinator.applied(workload.state, tag, reply, workload.nowMillis)) }
+
+        assertEquals(1, notes.count { it.event == "job_ended" && it.id == JOB })
+    }
 }
--- a/node/src/main/kotlin/org/auburnlever/fleet/FleetAnswers.kt
+++ b/node/src/main/kotlin/org/auburnlever/fleet/FleetAnswers.kt
@@ -56,7 +56,7 @@
 
     private fun WorkloadReply.toAnswer(): FleetAnswer = when (this) {
         is WorkloadReply.NotAdmitted -> FleetAnswer.NotAdmitted(reason)
-        WorkloadReply.Done, is WorkloadReply.Assigned -> FleetAnswer.Done
+        WorkloadReply.Done, is WorkloadReply.Assigned, is WorkloadReply.Recorded -> FleetAnswer.Done
     }
 
     private suspend fun read(answer: (WorkloadState) -> FleetAnswer): Submission<FleetAnswer> =
