--- a/core/src/main/kotlin/org/auburnlever/workload/ApplyEnds.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/ApplyEnds.kt
@@ -1,13 +1,19 @@
 package org.auburnlever.workload
 
-/** Records [ends] of runs that are assigned; others are out of date. */
+/**
+ * Records [ends] of runs that are assigned; others are out of date. A run that was given up while its worker was silent
+ * and has ended as done counts too, unless its task has started again since.
+ */
 internal fun WorkloadState.record(ends: List<RunEnd>): WorkloadState = ends.fold(this) { state, end ->
     val job = state.jobs[end.run.task.job]
     val task = job?.task(end.run.task)
-    val current = task != null && task.phase == TaskPhase.ASSIGNED && task.run == end.run.run
+    val current = task != null && task.run == end.run.run && task.takes(end.kind)
     if (job != null && current) state.with(job.after(end).settled(state.nowMillis)) else state
 }
 
+private fun TaskRecord.takes(kind: EndKind): Boolean =
+    phase == TaskPhase.ASSIGNED || phase == TaskPhase.WAITING && kind == EndKind.DONE
+
 private fun JobRecord.after(end: RunEnd): JobRecord {
     val id = end.run.task
     val spec = spec.steps[id.step]
--- a/core/src/main/kotlin/org/auburnlever/workload/RunOrders.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/RunOrders.kt
@@ -17,7 +17,8 @@
 /** Takes the answer to a start; a refusal means that the run never begins. */
 internal fun LeaderMemory.startAnswered(order: WorkerOrder.Start, answer: OrderAnswer, nowMillis: Long) {
     val view = runs[order.run] ?: return
-    put(order.run, view.copy(answeredMillis = nowMillis))
+    val begun = view.begun || answer is OrderAnswer.Done && view.worker == order.worker
+    put(order.run, view.copy(answeredMillis = nowMillis, begun = begun))
     val refused = answer as? OrderAnswer.Refused ?: return
     note("start_refused", order.run.toString(), "worker" to order.worker.id, "reason" to refused.reason)
     if (refused.reason == RefusalReason.UNHEALTHY) {
--- a/core/src/main/kotlin/org/auburnlever/workload/RunSettling.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/RunSettling.kt
@@ -30,12 +30,27 @@
 
 /** Gives up runs on workers whose lease has run out, or whose life has ended. */
 internal fun LeaderMemory.giveUpLost(nowMillis: Long) {
+    moveToLaterLives(nowMillis)
     val lost = runs.filter { (_, view) -> workers[view.worker.id]?.hasLost(view.worker, nowMillis) ?: false }
     if (lost.isEmpty()) return
     recordEnds(lost.map { (run, view) -> RunEnd(run, EndKind.LOST, view.checkpoint) })
     lost.forEach { (run, view) -> note("task_lost", run.toString(), "worker" to view.worker.id) }
 }
 
+/**
+ * Looks for runs whose start may have been under way when their worker was born again. The new life may carry the start
+ * out under the same id, so such a run is given up only after that life has confirmed a stop.
+ */
+private fun LeaderMemory.moveToLaterLives(nowMillis: Long) = runs.forEach { (run, view) ->
+    val worker = workers[view.worker.id]
+    if (worker != null && !view.begun && worker.ref.bornMillis > view.worker.bornMillis) {
+        val moved = view.copy(worker = worker.ref, answeredMillis = nowMillis, stopSentMillis = null)
+        put(run, moved.copy(stopAnsweredMillis = null))
+        put(worker.copy(leaseEndMillis = maxOf(worker.leaseEndMillis, nowMillis + limits.longestLeaseSafeMillis)))
+        note("run_may_begin_in_later_life", run.toString(), "worker" to worker.ref.id)
+    }
+}
+
 private fun WorkerView.hasLost(ref: WorkerRef, nowMillis: Long): Boolean {
     val silent = failedCalls > 0 && nowMillis >= leaseEndMillis
     val ended = leftMillis.let { it != null && nowMillis - it >= LEAVE_MILLIS && failedCalls > 0 }
--- a/core/src/main/kotlin/org/auburnlever/workload/WorkerLooks.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/WorkerLooks.kt
@@ -94,6 +94,7 @@
 
 private fun RunView.seen(active: ActiveRun, nowMillis: Long) = copy(
     answeredMillis = answeredMillis ?: nowMillis,
+    begun = true,
     percent = active.percent,
     progressMillis = if (active.percent != percent) nowMillis else progressMillis,
     checkpoint = active.checkpoint.ifEmpty { checkpoint },
--- a/core/src/main/kotlin/org/auburnlever/workload/WorkerReports.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/WorkerReports.kt
@@ -62,9 +62,10 @@
 )
 
 private fun WorkerView.isNewerThan(report: WorkerReport): Boolean {
-    val newest = this.report ?: return false
-    return newest.ref.bornMillis > report.ref.bornMillis ||
-        newest.ref.bornMillis == report.ref.bornMillis && newest.sequence >= report.sequence
+    // The life may be known from an answer to an order, before its first report.
+    val newestSequence = this.report?.sequence ?: Long.MIN_VALUE
+    return ref.bornMillis > report.ref.bornMillis ||
+        ref.bornMillis == report.ref.bornMillis && newestSequence >= report.sequence
 }
 
 private fun WorkerView.clockSeen(shownMillis: Long, nowMillis: Long): WorkerView =
--- a/core/src/main/kotlin/org/auburnlever/workload/WorkloadLimits.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/WorkloadLimits.kt
@@ -7,22 +7,29 @@
  * @property reportMillis interval of the workers' reports
  * @property jobRetentionMillis how long an ended job's state can be asked for
  * @property stopMillis longest time that a worker takes for a stop
+ * @property longestLeaseMillis longest lease that a worker grants, whatever the order says
  */
 data class WorkloadLimits(
     val leaseMillis: Long = LEASE_MILLIS,
     val reportMillis: Long = REPORT_MILLIS,
     val jobRetentionMillis: Long = JOB_RETENTION_MILLIS,
     val stopMillis: Long = STOP_MILLIS,
+    val longestLeaseMillis: Long = LONGEST_LEASE_MILLIS,
 ) {
     /** Two reports may be lost before a worker gets no new work. */
     val reportLimitMillis: Long get() = reportMillis * 2 + reportMillis / 2
 
     /** From an order's sending until its lease has certainly run out: clocks may be 2% slow, and calls take time. */
-    val leaseSafeMillis: Long get() = leaseMillis + leaseMillis * CLOCK_ERROR_PERCENT / PERCENT + CALL_SLACK_MILLIS
+    val leaseSafeMillis: Long get() = safe(leaseMillis)
+
+    /** The same for an order whose deadline was meant for another clock, so that only the worker's limit bounds it. */
+    val longestLeaseSafeMillis: Long get() = safe(maxOf(leaseMillis, longestLeaseMillis))
 
     /** From the answer to a stop until the run has certainly ended and its end is listed. */
     val stopSafeMillis: Long get() = stopMillis + CALL_SLACK_MILLIS
 
+    private fun safe(lease: Long): Long = lease + lease * CLOCK_ERROR_PERCENT / PERCENT + CALL_SLACK_MILLIS
+
     private companion object {
         /** Three looks of 2 s; a shorter lease would end the work of a worker that is cut off for a moment. */
         const val LEASE_MILLIS = 6_000L
@@ -30,6 +37,9 @@
         const val JOB_RETENTION_MILLIS = 150_000L
         const val STOP_MILLIS = 900L
 
+        /** Of the operators' first deployments. */
+        const val LONGEST_LEASE_MILLIS = 10_000L
+
         /** The protocol allows 2%; the rest covers the estimate of the worker's clock. */
         const val CLOCK_ERROR_PERCENT = 4L
         const val PERCENT = 100L
--- a/core/src/test/kotlin/org/auburnlever/workload/ApplyWorkloadTest.kt
+++ b/core/src/test/kotlin/org/auburnlever/workload/ApplyWorkloadTest.kt
@@ -88,6 +88,20 @@
         assertEquals(JobStatus.RUNNING, workload.job(JOB).status())
     }
 
+    /** Guards against work that is done twice because its worker was silent while it finished. */
+    @Test
+    fun `a run that was given up and has ended as done counts unless its task has started again`() {
+        workload.submit("routine", JOB, step(tasks = 2))
+        workload.assign(JOB, run = 1, workers = mapOf(0 to "1", 1 to "1"))
+        workload.end(JOB, index = 0, run = 1, kind = EndKind.LOST)
+        workload.end(JOB, index = 0, run = 1, kind = EndKind.FAILED)
+        assertEquals(0, workload.job(JOB).task(TaskId(JOB, 0, 0, 0))?.failures)
+        workload.end(JOB, index = 0, run = 1, kind = EndKind.DONE)
+        workload.end(JOB, index = 1, run = 1, kind = EndKind.DONE)
+
+        assertEquals(JobStatus.SUCCEEDED, workload.job(JOB).status())
+    }
+
     @Test
     fun `one end as done stands for all members of a gang`() {
         workload.submit("routine", JOB, step(tasks = 3, gang = true))
--- a/core/src/test/kotlin/org/auburnlever/workload/CoordinatorTest.kt
+++ b/core/src/test/kotlin/org/auburnlever/workload/CoordinatorTest.kt
@@ -296,4 +296,37 @@
 
         assertEquals(1, notes.count { it.event == "job_ended" && it.id == JOB })
     }
+
+    /** Guards against starts on a worker's earlier life; the soak's seed 1 ran a task twice that way. */
+    @Test
+    fun `a report of an earlier life that arrives after an answer of the later one is ignored`() {
+        val start = startJob()
+        answer(start, OrderAnswer.Done(clockMillis = 100_050))
+        answer(take<WorkerOrder.Look>(), OrderAnswer.Listed(10, bornMillis = 2, emptyList(), emptyList()))
+        run(coordinator.reported(report("1", sequence = 9), workload.nowMillis))
+        orders.clear()
+        tick(afterMillis = 500)
+
+        assertTrue(orders.none { it is WorkerOrder.Start }, "a start was sent to a life that has ended: $orders")
+    }
+
+    /** Guards against a start that a reborn worker carries out after its task was given to another one. */
+    @Test
+    fun `a start under way while its worker is born again is stopped there before it is given up`() {
+        val start = startJob()
+        run(coordinator.reported(report("1", born = 2), workload.nowMillis))
+        answer(start, OrderAnswer.Unknown("connection reset"))
+        tick()
+        assertEquals(TaskPhase.ASSIGNED, workload.state.task(start.run.task)?.phase)
+        answer(take<WorkerOrder.Look>(), OrderAnswer.Listed(10, bornMillis = 2, emptyList(), emptyList()))
+        tick(afterMillis = 2_000)
+        answer(take<WorkerOrder.Look>(), OrderAnswer.Listed(2_010, bornMillis = 2, emptyList(), emptyList()))
+        val stop = take<WorkerOrder.Stop>()
+        assertEquals(2, stop.worker.bornMillis)
+        answer(stop, OrderAnswer.Done(clockMillis = 2_020))
+        tick(afterMillis = limits.stopSafeMillis + 100)
+        answer(take<WorkerOrder.Look>(), OrderAnswer.Listed(4_000, bornMillis = 2, emptyList(), emptyList()))
+
+        assertEquals(TaskPhase.WAITING, workload.state.task(start.run.task)?.phase)
+    }
 }
