--- a/node/src/main/kotlin/org/auburnlever/fleet/FleetMembership.kt
+++ b/node/src/main/kotlin/org/auburnlever/fleet/FleetMembership.kt
@@ -25,6 +25,9 @@
     private val settings: FleetSettings,
     private val clock: HostClock,
 ) {
+    private var leadsInTerm = -1L
+    private var leadsSinceMillis = 0L
+
     /** Does what is due until the coroutine ends. */
     suspend fun keepUp() {
         while (currentCoroutineContext().isActive) {
@@ -51,9 +54,14 @@
     }
 
     private suspend fun changeVoters(view: GroupView<WorkloadState>) {
-        val heard = view.peers.mapValues { it.value.heardMillis }
         val wanted = settings.lostHosts * 2 + 1
-        val change = voterChange(view.membership, view.replica, heard, wanted, clock.nowMillis()) ?: return
+        val nowMillis = clock.nowMillis()
+        if (view.term != leadsInTerm) {
+            leadsInTerm = view.term
+            leadsSinceMillis = nowMillis
+        }
+        val heard = heardMillis(view.peers.mapValues { it.value.heardMillis }, view.membership, leadsSinceMillis)
+        val change = voterChange(view.membership, view.replica, heard, wanted, nowMillis) ?: return
         val result = runner.change(change)
         logger.info { "membership change $change: $result" }
     }
--- a/node/src/main/kotlin/org/auburnlever/fleet/VoterChange.kt
+++ b/node/src/main/kotlin/org/auburnlever/fleet/VoterChange.kt
@@ -39,6 +39,14 @@
     }
 }
 
+/** When each replica last answered; a voter that has not answered a new leader is silent since the election. */
+internal fun heardMillis(
+    answeredMillis: Map<ReplicaId, Long?>,
+    membership: Membership,
+    leadsSinceMillis: Long,
+): Map<ReplicaId, Long?> =
+    answeredMillis + membership.voters.filter { answeredMillis[it] == null }.associateWith { leadsSinceMillis }
+
 private fun answersSince(heardMillis: Long?, sinceMillis: Long): Boolean =
     heardMillis != null && heardMillis >= sinceMillis
 
--- a/node/src/test/kotlin/org/auburnlever/fleet/VoterChangeTest.kt
+++ b/node/src/test/kotlin/org/auburnlever/fleet/VoterChangeTest.kt
@@ -28,6 +28,18 @@
         return voterChange(membership, self, heard, wantedVoters, NOW_MILLIS)
     }
 
+    /** Guards against a new leader that takes every voter for lost before it can have heard from them. */
+    @Test
+    fun `a voter that has not answered a new leader is silent since the election`() {
+        val answered = mapOf(newcomer to NOW_MILLIS, hosts[1] to NOW_MILLIS, hosts[2] to null)
+        fun change(leadsSinceMillis: Long): MembershipChange? {
+            val heard = heardMillis(answered, withLearner, leadsSinceMillis)
+            return voterChange(withLearner, self, heard, wantedVoters = 3, NOW_MILLIS)
+        }
+        assertNull(change(leadsSinceMillis = NOW_MILLIS - 500))
+        assertEquals(MembershipChange.Remove(hosts[2]), change(leadsSinceMillis = NOW_MILLIS - 5_000))
+    }
+
     private val withLearner = Membership(voters + (newcomer to ReplicaRole.LEARNER))
 
     @Test
