--- a/core/src/main/kotlin/org/auburnlever/workload/Coordinator.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/Coordinator.kt
@@ -107,8 +107,8 @@
         val stopping = runs.filterValues { it.stopSentMillis != null }.keys
         demand = demand.observed(jobs, nowMillis)
         val plan = planWork(jobs, usable, stopping, demand.reserve(jobs), nowMillis)
-        plan.displaced.forEach { run ->
-            note("task_displaced", run.toString())
+        plan.displacedFor.forEach { (run, step) ->
+            note("task_displaced", run.toString(), "for" to step)
             runs[run]?.let { stop(run, it, nowMillis) }
         }
         if (plan.assignments.isNotEmpty()) {
--- a/core/src/main/kotlin/org/auburnlever/workload/WorkPlan.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/WorkPlan.kt
@@ -1,7 +1,10 @@
 package org.auburnlever.workload
 
-/** What to start, and which runs to stop to make room for urgent jobs. */
-data class WorkPlan(val assignments: List<Assignment>, val displaced: List<TaskRun>)
+/** What to start, and which runs to stop to make room for urgent jobs, each with the step that needs its room. */
+data class WorkPlan(val assignments: List<Assignment>, val displacedFor: Map<TaskRun, StepId>) {
+    /** The runs to stop. */
+    val displaced: List<TaskRun> get() = displacedFor.keys.toList()
+}
 
 /**
  * Decides which waiting tasks start now on which of [workers].
@@ -24,7 +27,7 @@
         .flatMap { it.waitingSteps(nowMillis) }
         .sortedWith(waitingOrder(nowMillis))
         .forEach(planner::consider)
-    return WorkPlan(planner.assignments, planner.displaced.toList())
+    return WorkPlan(planner.assignments, planner.displacedFor)
 }
 
 /**
--- a/core/src/main/kotlin/org/auburnlever/workload/WorkPlanner.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/WorkPlanner.kt
@@ -11,7 +11,7 @@
     private val reserved: Set<String>,
 ) {
     val assignments = ArrayList<Assignment>()
-    val displaced = LinkedHashSet<TaskRun>()
+    val displacedFor = LinkedHashMap<TaskRun, StepId>()
     private val fitsOneRack = HashMap<List<Any?>, Boolean>()
     private var heldGangs = 0
 
@@ -83,7 +83,8 @@
         val missing = WaitingStep(step.job, step.id, step.spec, step.tasks.drop(placedCount))
         val displacement = displacements.find(missing, choices(missing)) ?: return
         displacements.take(missing, displacement)
-        displaced += displacement.victims.flatMap { it.runs }.map { it.first }.filter { it !in stopping }
+        val victims = displacement.victims.flatMap { it.runs }.map { it.first }
+        victims.filter { it !in stopping }.forEach { displacedFor[it] = step.id }
     }
 
     private companion object {
--- a/core/src/test/kotlin/org/auburnlever/workload/WorkPlanTest.kt
+++ b/core/src/test/kotlin/org/auburnlever/workload/WorkPlanTest.kt
@@ -66,6 +66,7 @@
         val first = plan(workers)
         val victim = TaskRun(TaskId("new", 0, 0, 0), run = 1)
         assertEquals(listOf(victim), first.displaced)
+        assertEquals(mapOf(victim to StepId("now", 0, 0)), first.displacedFor)
         assertTrue(first.assignments.isEmpty())
 
         val second = plan(workers, stopping = setOf(victim))
