--- a/core/src/main/kotlin/org/auburnlever/workload/RunOrders.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/RunOrders.kt
@@ -17,7 +17,8 @@
 /** Takes the answer to a start; a refusal means that the run never begins. */
 internal fun LeaderMemory.startAnswered(order: WorkerOrder.Start, answer: OrderAnswer, nowMillis: Long) {
     val view = runs[order.run] ?: return
-    val begun = view.begun || answer is OrderAnswer.Done && view.worker == order.worker
+    val worker = workers[order.worker.id]
+    val begun = view.begun || answer is OrderAnswer.Done && worker.answered(order.worker, answer)
     put(order.run, view.copy(answeredMillis = nowMillis, begun = begun))
     val refused = answer as? OrderAnswer.Refused ?: return
     note("start_refused", order.run.toString(), "worker" to order.worker.id, "reason" to refused.reason)
@@ -28,6 +29,13 @@
     if (refused.reason != RefusalReason.FENCED) recordEnds(listOf(RunEnd(order.run, EndKind.LOST, checkpoint = "")))
 }
 
+/**
+ * Whether the life [meant] gave [answer]. A later life at the same address answers too, without naming itself, but
+ * its clock began anew.
+ */
+private fun WorkerView?.answered(meant: WorkerRef, answer: OrderAnswer.Done): Boolean =
+    this != null && ref == meant && answer.clockMillis >= clockMillis
+
 /** Orders [run] to stop, unless that was ordered a moment ago. */
 internal fun LeaderMemory.stop(run: TaskRun, view: RunView, nowMillis: Long) {
     val due = view.stopSentMillis.let { it == null || nowMillis - it >= STOP_REPEAT_MILLIS }
--- a/core/src/test/kotlin/org/auburnlever/workload/CoordinatorTest.kt
+++ b/core/src/test/kotlin/org/auburnlever/workload/CoordinatorTest.kt
@@ -329,4 +329,20 @@
 
         assertEquals(TaskPhase.WAITING, workload.state.task(start.run.task)?.phase)
     }
+
+    /** Guards against a start that only a later life has taken; the soak's seed 5 ran a task twice that way. */
+    @Test
+    fun `a start that a later life answered is not given up as one of the earlier life`() {
+        val start = startJob()
+        answer(start, OrderAnswer.Done(clockMillis = 5))
+        run(coordinator.reported(report("1", born = 2), workload.nowMillis))
+        tick()
+        assertEquals(TaskPhase.ASSIGNED, workload.state.task(start.run.task)?.phase)
+        val active = listOf(ActiveRun(start.run, "", percent = 1))
+        answer(take<WorkerOrder.Look>(), OrderAnswer.Listed(10, bornMillis = 2, active, emptyList()))
+        tick(afterMillis = 500)
+
+        assertEquals(TaskPhase.ASSIGNED, workload.state.task(start.run.task)?.phase)
+        assertTrue(orders.none { it is WorkerOrder.Stop }, "the run goes on in the later life: $orders")
+    }
 }
