--- a/standin/src/test/kotlin/org/auburnlever/standin/SentReportsTest.kt
+++ b/standin/src/test/kotlin/org/auburnlever/standin/SentReportsTest.kt
@@ -1,5 +1,6 @@
 package org.auburnlever.standin
 
+import org.auburnlever.codec.Codec
 import org.auburnlever.ledger.LeaderState
 import org.auburnlever.ledger.SeenWorker
 import org.auburnlever.ledger.complete
@@ -30,6 +31,23 @@
         assertEquals(1, second.basedOn)
     }
 
+    /** The limit is that of a node, and an entry host forwards each heartbeat once inside its failure domain. */
+    @Test
+    fun `a busy worker and the forwarding of its heartbeats stay below 3 KB a second`() {
+        val tasks = List(17) { task(it) }
+        var sent = SentReports()
+        val bytes = (1L..HEARTBEATS).sumOf { sequence ->
+            val (next, heartbeat) = sent.send(template().copy(sequence = sequence, tasks = tasks), sequence * 1_000)
+            sent = next.answered(sequence, reply)
+            Codec.json.encodeToString(WorkerHeartbeat.serializer(), heartbeat).length
+        }
+        val withoutTasks = Codec.json.encodeToString(WorkerHeartbeat.serializer(), template()).length
+        val taskBytes = bytes / HEARTBEATS - withoutTasks
+        println("17 tasks add $taskBytes bytes a second to a heartbeat of $withoutTasks bytes")
+
+        assertTrue(2 * (WORKER_WITHOUT_TASKS_BYTES + taskBytes) < LIMIT_BYTES)
+    }
+
     /** Guards against a new leader that never gets the whole list. */
     @Test
     fun `all tasks are listed when the leader asks for them`() {
@@ -92,6 +110,11 @@
     }
 
     private companion object {
+        const val HEARTBEATS = 60L
+
+        /** Both directions, as measured in `docs/CAPACITY.md`. */
+        const val WORKER_WITHOUT_TASKS_BYTES = 628
+        const val LIMIT_BYTES = 3_000
         const val SCHEDULES = 200
         const val STEPS = 60L
         const val TASKS = 6
