Don't report a command as not submitted after a lost reply

Cause: a request whose first attempt got no reply was answered as not submitted (503, has not run) when a later attempt was refused, for example because the command queue was full. The first attempt may have been accepted.

Change: once an attempt is undecided, a refusal or a reply that turns the command away ends the request as undecided (504).

Both new tests of LeaderClientTest fail without the change.

--- a/node/src/main/kotlin/org/auburnlever/host/LeaderClient.kt
+++ b/node/src/main/kotlin/org/auburnlever/host/LeaderClient.kt
@@ -14,11 +14,18 @@
 import org.auburnlever.transport.PeerClient
 import org.auburnlever.transport.PeerDirectory
 
-/** A request for the leader of [group]: [local] asks this host's replica, [remote] is sent to another host. */
+/**
+ * A request for the leader of [group].
+ *
+ * @property local asks this host's replica
+ * @property remote the request to send to another host
+ * @property turnedAway whether a reply says that the command was not carried out and may be tried again later
+ */
 internal class LeaderRequest<T>(
     val group: GroupName,
     val local: (suspend () -> Submission<T>)?,
     val remote: PeerRequest,
+    val turnedAway: (T) -> Boolean = { false },
     val decode: (PeerReply) -> Submission<T>,
 )
 
@@ -60,12 +67,16 @@
         val answer = if (target == null) Submission.NotLeader(null) else ask(request, target, search)
         search.recordAttempt(target, answer, clock.nowMillis())
         return when (answer) {
-            is Submission.Applied -> Ok(answer.reply)
-            is Submission.Refused -> Err(SubmitError.NotSubmitted(answer.message))
+            is Submission.Applied -> applied(request, answer.reply, search)
+            is Submission.Refused -> Err(search.refusal(request.group, answer.message))
             is Submission.NotLeader, is Submission.Undecided -> null
         }
     }
 
+    /** An earlier attempt whose reply was lost may still take effect after a later one was turned away. */
+    private fun <T> applied(request: LeaderRequest<T>, reply: T, search: LeaderSearch): Result<T, SubmitError> =
+        if (request.turnedAway(reply) && search.mayHaveTakenEffect) Err(search.error(request.group)) else Ok(reply)
+
     private suspend fun <T> ask(
         request: LeaderRequest<T>,
         target: HostName,
--- a/node/src/main/kotlin/org/auburnlever/host/LeaderSearch.kt
+++ b/node/src/main/kotlin/org/auburnlever/host/LeaderSearch.kt
@@ -25,6 +25,9 @@
     var failedHosts: Set<HostName> = emptySet()
         private set
 
+    /** Whether an attempt may have taken effect, or may still do so. */
+    val mayHaveTakenEffect: Boolean get() = undecidedMessage != null
+
     /** Returns whether another attempt may be made. */
     fun canRetry(nowMillis: Long): Boolean {
         val since = unreachableSinceMillis
@@ -52,6 +55,10 @@
         unreachableSinceMillis = if (target == null) unreachableSinceMillis ?: nowMillis else null
     }
 
+    /** Returns the error of a request whose last attempt was refused with [message]. */
+    fun refusal(group: GroupName, message: String): SubmitError =
+        if (mayHaveTakenEffect) error(group) else SubmitError.NotSubmitted(message)
+
     fun error(group: GroupName): SubmitError {
         val message = undecidedMessage
         return if (message == null) {
--- a/node/src/test/kotlin/org/auburnlever/host/LeaderClientTest.kt
+++ b/node/src/test/kotlin/org/auburnlever/host/LeaderClientTest.kt
@@ -10,6 +10,7 @@
 import org.auburnlever.model.DomainName
 import org.auburnlever.model.HostName
 import org.auburnlever.model.RegionName
+import org.auburnlever.peer.GroupName
 import org.auburnlever.peer.PeerReply
 import org.auburnlever.peer.PeerRequest
 import org.auburnlever.transport.CallError
@@ -65,6 +66,31 @@
         assertEquals(Ok(LedgerReply.Done), submit(FakePeers(hosts, answers)))
     }
 
+    /** Guards against a caller that is told that its job has not run although an attempt may have been accepted. */
+    @Test
+    fun `a refusal after an attempt without a reply leaves the command undecided`() {
+        val answers = listOf<Result<PeerReply, CallError>>(
+            Err(CallError.NoReply("link closed")),
+            Ok(PeerReply.NotDone("the command queue is full")),
+        )
+        assertIs<SubmitError.Undecided>(submit(FakePeers(hosts, answers)).getError())
+    }
+
+    /** Guards against the same when the later attempt was recorded as turned away. */
+    @Test
+    fun `being turned away after an attempt without a reply leaves the command undecided`() {
+        val answers = listOf<Result<PeerReply, CallError>>(
+            Err(CallError.NoReply("link closed")),
+            Ok(PeerReply.Ok),
+        )
+        val peers = FakePeers(hosts, answers)
+        val client = LeaderClient(peers, peers, { null }, { hosts }, HostClock())
+        val request = LeaderRequest(GroupName("workload"), null, PeerRequest.FleetMembers, { it == "turned away" }) {
+            Submission.Applied("turned away")
+        }
+        assertIs<SubmitError.Undecided>(runBlocking { client.ask(request, TIMEOUT_MILLIS) }.getError())
+    }
+
     private fun submit(peers: FakePeers): Result<LedgerReply, SubmitError> {
         val leaderClient = LeaderClient(peers, peers, { null }, { hosts }, HostClock())
         val client = ClusterLedgerClient(leaderClient) { null }
