--- a/core/src/main/kotlin/org/auburnlever/workload/WorkerOrder.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/WorkerOrder.kt
@@ -47,12 +47,14 @@
      *
      * @property workerStartMillis start of the incarnation that answers; null if the worker does not tell it
      * @property ended ends that the worker has not been told to forget
+     * @property complete whether all rows of the answer could be read; if not, a run that is not listed may be active
      */
     data class Listed(
         val clockMillis: Long,
         val workerStartMillis: Long?,
         val active: List<ActiveRun>,
         val ended: List<NumberedEnd>,
+        val complete: Boolean = true,
     ) : OrderAnswer
 
     /** The order was refused for good and has had no effect. */
--- a/core/src/main/kotlin/org/auburnlever/workload/WorkerPolling.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/WorkerPolling.kt
@@ -46,7 +46,11 @@
         confirmAcknowledgedEnds(order)
         recordListedEnds(order.worker, answer, nowMillis)
         handleActiveRuns(state, order.worker, answer, nowMillis)
-        handleMissingRuns(order.worker, answer, sentMillis, nowMillis)
+        if (answer.complete) {
+            handleMissingRuns(order.worker, answer, sentMillis, nowMillis)
+        } else {
+            logDecision("list_unreadable", order.worker.id, "readableRuns" to answer.active.size)
+        }
     }
 }
 
