Preempt by what is lost, honour guarantees, and withhold orders after a pause

Cause: the cost of a stop was the time since its assignment, so a run that had just been started again was the cheapest victim each time, what a checkpoint keeps was not counted, and urgent jobs stopped work that would have ended in time by itself. Guarantees of accounts were not considered at all. Change: the cost is the work that is lost plus the restart, weighted by how often the step was stopped; an urgent job waits for work that ends in time by its reported progress, keeps that room, stops nothing when it would be late all the same, and throws away at most three times its own work. Jobs within their account's guarantee are exempt from that bound, start first, and take back what urgent jobs beyond a guarantee use. Answers that are of no use any more (three objectives late) come last. Occurrences of scheduled jobs are measured from their due time instead of their acceptance.

Cause: a start was ordered with a full lease when its commit was seen, however long the leader had been paused since, and a confirmation of the leadership looked recent after the machine had been suspended, as the monotonic clock stands still then. Change: starts need a confirmation of the last second and their lease counts from it; the age of a confirmation is the larger one by the monotonic clock and by the time of day.

Cause: DELETE names no incarnation, so a late one of an earlier life made one failed call enough to give up the runs of the later life. Change: it counts only for a worker that reports that it drains.

Cause: an exception in a decision stopped the leader's process, and the same input then the next leader's. Change: the decision has no effect, is logged and counted, and a new coordinator of the same term learns the state of the workers anew.

--- a/core/src/main/kotlin/org/auburnlever/workload/Catalog.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/Catalog.kt
@@ -61,3 +61,7 @@
  */
 @Serializable
 data class Account(val name: AccountName, val keys: List<String>, val guaranteedAccelerators: Int)
+
+/** Returns the guaranteed accelerators of each account of the active catalog. */
+internal fun WorkloadState.guarantees(): Map<AccountName, Int> =
+    catalog?.accounts.orEmpty().associate { it.name to it.guaranteedAccelerators }
--- a/core/src/main/kotlin/org/auburnlever/workload/Coordinator.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/Coordinator.kt
@@ -40,17 +40,29 @@
         }
     }
 
-    /** Handles [reply] to a proposal whose command was applied. */
+    /**
+     * Handles [reply] to a proposal whose command was applied.
+     *
+     * [confirmedMillis] is when a majority last confirmed the leadership. A leader that was paused between the commit
+     * and this call may have been replaced, so without a recent confirmation nothing is started: the next ticks adopt
+     * the assigned runs, find them missing at their workers and place their tasks anew.
+     */
     fun onApplied(
         state: WorkloadState,
         tag: ProposalTag,
         reply: WorkloadReply,
+        confirmedMillis: Long,
         nowMillis: Long,
     ): List<CoordinatorEffect> = leader.collect {
         when (tag) {
             ProposalTag.Assign -> {
                 assigning = false
-                (reply as? WorkloadReply.Assigned)?.runs?.forEach { start(state, it, nowMillis) }
+                val runs = (reply as? WorkloadReply.Assigned)?.runs.orEmpty()
+                if (isConfirmed(confirmedMillis, nowMillis)) {
+                    runs.forEach { start(state, it, confirmedMillis, nowMillis) }
+                } else {
+                    logDecision("starts_withheld", "${runs.size}", "confirmedAgoMillis" to nowMillis - confirmedMillis)
+                }
             }
             is ProposalTag.Ends ->
                 handleEndsRecorded(state, tag, (reply as? WorkloadReply.Recorded)?.endedJobs.orEmpty())
@@ -81,7 +93,7 @@
      */
     fun tick(state: WorkloadState, confirmedMillis: Long, nowMillis: Long): List<CoordinatorEffect> = leader.collect {
         adoptRuns(state)
-        val leadershipConfirmed = nowMillis - confirmedMillis <= CONFIRMATION_LIMIT_MILLIS
+        val leadershipConfirmed = isConfirmed(confirmedMillis, nowMillis)
         if (leadershipConfirmed) {
             stopUnwantedRuns(state, nowMillis)
             handleStalledRuns(state, nowMillis)
@@ -108,7 +120,16 @@
         val usable = workers.values.filter { it.usable(nowMillis, limits.reportLimitMillis) }
         val stopping = runs.filterValues { it.stopSentMillis != null }.keys
         demand = demand.observed(jobs, nowMillis)
-        val plan = planWork(jobs, usable, stopping, demand.reserve(jobs), nowMillis)
+        val input = PlanningInput(
+            jobs = jobs,
+            workers = usable,
+            stopping = stopping,
+            progress = runs.mapValues { (_, view) -> RunProgress(view.percent, view.progressMillis) },
+            guarantees = state.guarantees(),
+            urgentReserve = demand.reserve(jobs),
+            limits = limits,
+        )
+        val plan = planWork(input, nowMillis)
         plan.preemptedFor.forEach { (run, step) ->
             logDecision("task_displaced", run.toString(), "for" to step)
             runs[run]?.let { stop(run, it, nowMillis) }
@@ -119,6 +140,9 @@
         }
     }
 
+    private fun isConfirmed(confirmedMillis: Long, nowMillis: Long): Boolean =
+        nowMillis - confirmedMillis <= CONFIRMATION_LIMIT_MILLIS
+
     private companion object {
         /** A plan takes effect with a commit, in about 50 ms, so planning much more often finds nothing new. */
         const val PLAN_INTERVAL_MILLIS = 250L
--- a/core/src/main/kotlin/org/auburnlever/workload/JobRecord.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/JobRecord.kt
@@ -146,9 +146,12 @@
     /** Returns the tasks that are assigned to a worker. */
     fun assigned(): List<Pair<TaskId, TaskRecord>> = assignedTasks
 
-    /** Returns the completion objective: the Unix time by which the job should be done, from its estimates. */
-    fun objectiveMillis(): Long =
-        acceptedMillis + policy.targetLatencyMillis + (policy.stretch * criticalPathMillis()).toLong()
+    /** Returns the Unix time from which the completion of [occurrence] is measured. */
+    fun beginMillis(occurrence: Int = 0): Long = maxOf(acceptedMillis, spec.dueMillis(occurrence))
+
+    /** Returns the completion objective: the Unix time by which [occurrence] should be done, from its estimates. */
+    fun objectiveMillis(occurrence: Int = 0): Long =
+        beginMillis(occurrence) + policy.targetLatencyMillis + (policy.stretch * criticalPathMillis()).toLong()
 
     /** Returns the estimated duration of the longest chain of dependent steps. */
     fun criticalPathMillis(): Long = criticalPath
--- /dev/null
+++ b/core/src/main/kotlin/org/auburnlever/workload/PlanningInput.kt
@@ -0,0 +1,23 @@
+package org.auburnlever.workload
+
+import org.auburnlever.model.AccountName
+
+/**
+ * What a plan is made from.
+ *
+ * @property workers workers that may get new work
+ * @property stopping runs that have been told to stop
+ * @property progress newest progress of the runs that their workers have listed
+ * @property guarantees accelerators that the urgent jobs of each account are entitled to at all times
+ * @property urgentReserve accelerators that other work leaves free while more than half of the fleet is in use, so that
+ *   a stream of small urgent jobs does not have to preempt it
+ */
+data class PlanningInput(
+    val jobs: Collection<JobRecord>,
+    val workers: Collection<WorkerView>,
+    val stopping: Set<TaskRun> = emptySet(),
+    val progress: Map<TaskRun, RunProgress> = emptyMap(),
+    val guarantees: Map<AccountName, Int> = emptyMap(),
+    val urgentReserve: Int = 0,
+    val limits: WorkloadLimits = WorkloadLimits(),
+)
--- a/core/src/main/kotlin/org/auburnlever/workload/PreemptionOffer.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/PreemptionOffer.kt
@@ -1,39 +1,43 @@
 package org.auburnlever.workload
 
 /**
- * The units to stop on a worker to fit one more task.
+ * The units that have to end on a worker to fit one more task.
  *
  * @property free the free resources of the worker that the offer was computed for
- * @property units units to stop; null if the task does not fit even if everything preemptible stops
+ * @property units units that must end; null if the task does not fit even if everything preemptible ends
  */
-internal class PreemptionOffer(val free: Resources, val units: List<PreemptionUnit>?) {
-    val costMillis = units.orEmpty().sumOf { it.costMillis }
+internal class PreemptionOffer(val free: Resources, val units: List<PreemptionUnit>?, patienceMillis: Long) {
+    val costMilliCoreMillis = units.orEmpty().sumOf { it.costWithin(patienceMillis) }
 }
 
 /**
- * Chooses the cheapest of [units] on [worker] to stop for one more task of [step], without those [alreadyChosen].
+ * Chooses the cheapest of [units] on [worker] that have to end for one more task of [step], without those
+ * [alreadyChosen].
  *
- * [units] are sorted by cost. Units that turn out not to be needed are dropped again, the most expensive first.
+ * Units that end within [patienceMillis] come before those that have to be stopped. [units] are sorted by cost. Units
+ * that turn out not to be needed are dropped again, the most expensive first.
  */
 internal fun preemptionOffer(
     worker: WorkerCapacity,
     step: WaitingStep,
     units: List<PreemptionUnit>,
+    patienceMillis: Long,
     alreadyChosen: (PreemptionUnit) -> Boolean,
 ): PreemptionOffer {
     val need = step.spec.reserved
     val id = worker.ref.id
     var freed = worker.free
     val chosen = ArrayList<PreemptionUnit>()
-    for (unit in units) {
-        if (freed.holds(need)) break
-        if (unit.mayBePreemptedBy(step) && !alreadyChosen(unit)) {
+    val take = { unit: PreemptionUnit ->
+        if (!freed.holds(need) && !alreadyChosen(unit)) {
             chosen += unit
             freed += unit.usedOn(id)
         }
     }
+    units.forEach { if (it.endsWithin(patienceMillis)) take(it) }
+    units.forEach { if (!it.endsWithin(patienceMillis) && it.mayBePreemptedBy(step)) take(it) }
     val enough = freed.holds(need)
-    return PreemptionOffer(worker.free, if (enough) chosen.withoutUnneeded(freed, need, id) else null)
+    return PreemptionOffer(worker.free, if (enough) chosen.withoutUnneeded(freed, need, id) else null, patienceMillis)
 }
 
 private fun List<PreemptionUnit>.withoutUnneeded(freed: Resources, need: Resources, id: String): List<PreemptionUnit> {
--- a/core/src/main/kotlin/org/auburnlever/workload/PreemptionPlanner.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/PreemptionPlanner.kt
@@ -1,94 +1,116 @@
 package org.auburnlever.workload
 
 /**
- * A set of units to stop for a step.
+ * A set of units that must end for a step.
  *
- * @property placements the worker of each task that fits once the victims have stopped
+ * @property stopped the units that don't end by themselves in time
+ * @property placements the worker of each task that fits once all units have ended
  */
-internal class Preemption(val victims: Set<PreemptionUnit>, val placements: List<WorkerCapacity>) {
-    val costMillis: Long get() = victims.sumOf { it.costMillis }
+internal class Preemption(
+    val units: Set<PreemptionUnit>,
+    val stopped: List<PreemptionUnit>,
+    val placements: List<WorkerCapacity>,
+    val costMilliCoreMillis: Long,
+) {
+    /** Work that the stops throw away. */
+    val lostMilliCoreMillis: Long get() = stopped.sumOf { it.stopCost.lostMilliCoreMillis }
 }
 
 /**
- * Finds the cheapest work to preempt for urgent steps.
+ * Finds the cheapest way to free resources for urgent steps.
  *
  * Each choice frees one worker for a whole task, so that no work is stopped on a worker that then still lacks resources
- * for the task. Runs in [stopping] have no further cost.
+ * for the task. Runs that are stopping already have no further cost.
  */
-internal class PreemptionPlanner(
-    private val fleet: FleetCapacity,
-    private val jobs: Collection<JobRecord>,
-    private val stopping: Set<TaskRun>,
-    private val nowMillis: Long,
-) {
-    private val chosenVictims = HashSet<PreemptionUnit>()
-    private val units by lazy(LazyThreadSafetyMode.NONE) { preemptionUnitsByWorker(jobs, stopping, nowMillis) }
+internal class PreemptionPlanner(private val fleet: FleetCapacity, private val units: PreemptionUnits) {
+    private val chosenUnits = HashSet<PreemptionUnit>()
+
+    private data class OfferKey(val priority: Int, val guaranteed: Boolean, val need: Resources, val patience: Long)
 
-    /** Cache of the offers for a first task, by priority and need; many urgent steps of a burst need the same. */
-    private val firstOffers = HashMap<Pair<Int, Resources>, HashMap<WorkerCapacity, PreemptionOffer>>()
+    /** Cache of the offers for a first task; many urgent steps of a burst need the same. */
+    private val firstOffers = HashMap<OfferKey, HashMap<WorkerCapacity, PreemptionOffer>>()
 
-    /** Returns the cheapest preemption for [step] on one of [candidateSets], or null if none frees enough resources. */
-    fun find(step: WaitingStep, candidateSets: List<List<WorkerCapacity>>): Preemption? =
-        candidateSets.mapNotNull { candidates -> estimateMillis(step, candidates)?.let { candidates to it } }
-            .sortedBy { (_, estimateMillis) -> estimateMillis }
+    /**
+     * Returns the cheapest preemption for [step] on one of [candidateSets], or null if none frees enough resources.
+     *
+     * Work that ends by itself within [patienceMillis] is waited for.
+     */
+    fun find(step: WaitingStep, candidateSets: List<List<WorkerCapacity>>, patienceMillis: Long): Preemption? {
+        val patience = patienceMillis / PATIENCE_STEP_MILLIS * PATIENCE_STEP_MILLIS
+        return candidateSets.mapNotNull { candidates -> estimate(step, candidates, patience)?.let { candidates to it } }
+            .sortedBy { (_, estimate) -> estimate }
             .take(MAX_CANDIDATE_SETS_TRIED)
-            .mapNotNull { (candidates, _) -> fleet.trial { preemptOn(step, candidates) } }
-            .minByOrNull { it.costMillis }
+            .mapNotNull { (candidates, _) -> fleet.trial { preemptOn(step, candidates, patience) } }
+            .minByOrNull { it.costMilliCoreMillis }
+    }
 
     /**
      * Allocates the placements of [preemption] for [step].
      *
-     * The free resources of these workers are negative until the victims have ended.
+     * The free resources of these workers are negative until the units have ended.
      */
     fun reserve(step: WaitingStep, preemption: Preemption) {
-        chosenVictims += preemption.victims
-        val touched = preemption.victims.flatMap { it.workers() }.toSet()
+        chosenUnits += preemption.units
+        val touched = preemption.units.flatMap { it.workers() }.toSet()
         firstOffers.values.forEach { it.keys -= touched }
         preemption.placements.forEach { it.allocate(step.spec.reserved) }
     }
 
     /** Estimates the cost of [step] on [candidates] from one task on each worker; null if they can't hold it. */
-    private fun estimateMillis(step: WaitingStep, candidates: List<WorkerCapacity>): Long? {
+    private fun estimate(step: WaitingStep, candidates: List<WorkerCapacity>, patienceMillis: Long): Long? {
         val count = step.tasks.size
-        val possible = candidates.filter { firstOffer(step, it).units != null }
-        val fitting = possible.sumOf { minOf(it.report.capacity.count(step.spec.reserved), count) }
+        val possible = candidates.filter { firstOffer(step, it, patienceMillis).units != null }
+        val fitting = possible.sumOf { minOf(it.report.capacity.count(step.spec.reserved), count, step.allowedOn(it)) }
         if (fitting < count) return null
-        val costs = possible.map { firstOffer(step, it).costMillis }.sorted().take(count)
+        val costs = possible.map { firstOffer(step, it, patienceMillis).costMilliCoreMillis }.sorted().take(count)
         return costs.sum() + costs.last() * (count - costs.size)
     }
 
-    private fun preemptOn(step: WaitingStep, candidates: List<WorkerCapacity>): Preemption? {
-        val victims = LinkedHashSet<PreemptionUnit>()
+    private fun preemptOn(step: WaitingStep, candidates: List<WorkerCapacity>, patienceMillis: Long): Preemption? {
+        val ending = LinkedHashSet<PreemptionUnit>()
         val placements = ArrayList<WorkerCapacity>()
         val offers = LinkedHashMap<WorkerCapacity, PreemptionOffer>()
-        candidates.forEach { worker -> offers.update(worker, firstOffer(step, worker)) }
+        candidates.forEach { worker -> offers.update(worker, firstOffer(step, worker, patienceMillis)) }
         repeat(step.tasks.size) {
-            val (worker, offer) = offers.minByOrNull { it.value.costMillis } ?: return null
-            val stopped = offer.units.orEmpty()
-            stopped.forEach { unit -> unit.workersWithRepeats().forEach { it.release(unit.need) } }
-            victims += stopped
+            val (worker, offer) = offers.minByOrNull { it.value.costMilliCoreMillis } ?: return null
+            val units = offer.units.orEmpty()
+            units.forEach { unit -> unit.workersWithRepeats().forEach { it.release(unit.need) } }
+            ending += units
             worker.allocate(step.spec.reserved)
             placements += worker
             // The offers of all other workers stay valid for the next task.
-            val changed = stopped.flatMap { it.workers() } + worker
-            changed.filter { it in offers }.distinct().forEach { offers.update(it, offer(step, it, victims)) }
+            val changed = units.flatMap { it.workers() } + worker
+            changed.filter { it in offers }.distinct().forEach { other ->
+                val full = placements.count { it === other } >= step.allowedOn(other)
+                if (full) offers -= other else offers.update(other, offer(step, other, patienceMillis, ending))
+            }
         }
-        return Preemption(victims, placements)
+        val stopped = ending.filterNot { it.endsWithin(patienceMillis) }
+        return Preemption(ending, stopped, placements, ending.sumOf { it.costWithin(patienceMillis) })
     }
 
     private fun MutableMap<WorkerCapacity, PreemptionOffer>.update(worker: WorkerCapacity, offer: PreemptionOffer) {
         if (offer.units == null) remove(worker) else put(worker, offer)
     }
 
-    private fun firstOffer(step: WaitingStep, worker: WorkerCapacity): PreemptionOffer {
-        val known = firstOffers.getOrPut(step.priority to step.spec.reserved) { HashMap() }
-        val offer = known[worker]?.takeIf { it.free == worker.free } ?: offer(step, worker, emptySet())
+    private fun firstOffer(step: WaitingStep, worker: WorkerCapacity, patienceMillis: Long): PreemptionOffer {
+        val key = OfferKey(step.priority, step.guaranteed, step.spec.reserved, patienceMillis)
+        val known = firstOffers.getOrPut(key) { HashMap() }
+        val offer = known[worker]?.takeIf { it.free == worker.free } ?: offer(step, worker, patienceMillis, emptySet())
         known[worker] = offer
         return offer
     }
 
-    private fun offer(step: WaitingStep, worker: WorkerCapacity, victims: Set<PreemptionUnit>): PreemptionOffer =
-        preemptionOffer(worker, step, units[worker.ref.id].orEmpty()) { it in chosenVictims || it in victims }
+    private fun offer(
+        step: WaitingStep,
+        worker: WorkerCapacity,
+        patienceMillis: Long,
+        ending: Set<PreemptionUnit>,
+    ): PreemptionOffer = if (step.allowedOn(worker) == 0) {
+        PreemptionOffer(worker.free, null, patienceMillis)
+    } else {
+        preemptionOffer(worker, step, units.on(worker.ref.id), patienceMillis) { it in chosenUnits || it in ending }
+    }
 
     private fun PreemptionUnit.workersWithRepeats() = runs.mapNotNull { fleet.worker(it.second.id) }
 
@@ -100,5 +122,8 @@
          * always include the cheapest one.
          */
         const val MAX_CANDIDATE_SETS_TRIED = 4
+
+        /** Steps whose patience differs by less share their offers. */
+        const val PATIENCE_STEP_MILLIS = 500L
     }
 }
--- /dev/null
+++ b/core/src/main/kotlin/org/auburnlever/workload/PreemptionRules.kt
@@ -0,0 +1,52 @@
+package org.auburnlever.workload
+
+/**
+ * Decides how long an urgent step waits for running work to end, and how much work may be thrown away for it.
+ *
+ * Load pattern: a burst of urgent jobs arrives while routine work fills the fleet. Much of that work ends within the
+ * time that an urgent job has left, so stopping it would only repeat work.
+ */
+internal class PreemptionRules(private val limits: WorkloadLimits, private val nowMillis: Long) {
+    /**
+     * Returns for how long [step] can wait for running work to end by itself.
+     *
+     * A job within its account's guarantee waits only as long as a preemption can still make it begin in time. One that
+     * a preemption can't bring to its objective waits for as long as it takes.
+     */
+    fun patienceMillis(step: WaitingStep): Long {
+        val objectiveLeftMillis = latestStartMillis(step) - nowMillis
+        val reclaimLeftMillis = lastPreemptionMillis(step) - nowMillis
+        return when {
+            step.guaranteed && objectiveLeftMillis <= 0 -> maxOf(0, reclaimLeftMillis)
+            step.guaranteed -> maxOf(0, minOf(objectiveLeftMillis, reclaimLeftMillis))
+            objectiveLeftMillis < limits.preemptionMillis -> NEVER_MILLIS
+            else -> objectiveLeftMillis
+        }
+    }
+
+    /** Returns whether [preemption] may be carried out for [step]. */
+    fun permits(step: WaitingStep, preemption: Preemption): Boolean =
+        step.guaranteed || preemption.lostMilliCoreMillis <= step.workMilliCoreMillis * MAX_LOST_MULTIPLE
+
+    /** Returns whether [step] must take any workers now to begin within its guarantee, however slow they are for it. */
+    fun reclaimIsDue(step: WaitingStep): Boolean =
+        step.guaranteed && nowMillis in lastPreemptionMillis(step)..reclaimByMillis(step)
+
+    private fun latestStartMillis(step: WaitingStep): Long =
+        step.job.objectiveMillis(step.id.occurrence) - step.spec.estimatedMillis - START_MILLIS
+
+    /** The time until which a preemption certainly makes the step begin within its guarantee. */
+    private fun lastPreemptionMillis(step: WaitingStep): Long =
+        reclaimByMillis(step) - limits.preemptionMillis - RECLAIM_MARGIN_MILLIS
+
+    private fun reclaimByMillis(step: WaitingStep): Long =
+        step.job.beginMillis(step.id.occurrence) + limits.reclaimMillis
+
+    private companion object {
+        /** Covers a plan that is late and a forecast that is wrong. */
+        const val RECLAIM_MARGIN_MILLIS = 500L
+
+        /** Work that may be thrown away for one urgent step, as a multiple of its own work. */
+        const val MAX_LOST_MULTIPLE = 3
+    }
+}
--- a/core/src/main/kotlin/org/auburnlever/workload/Resources.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/Resources.kt
@@ -5,6 +5,9 @@
 /** An amount of processor time, memory and accelerators. */
 @Serializable
 data class Resources(val milliCores: Long, val memoryMiB: Long, val accelerators: Int) {
+    /** Cores and accelerators as one number, for weighing lost work. */
+    val weightMilliCores: Long get() = milliCores + accelerators * MILLI_CORES_PER_ACCELERATOR
+
     operator fun plus(other: Resources) =
         Resources(milliCores + other.milliCores, memoryMiB + other.memoryMiB, accelerators + other.accelerators)
 
@@ -28,6 +31,9 @@
     private fun times(have: Long, need: Long): Long = if (need <= 0) Int.MAX_VALUE.toLong() else have / need
 
     companion object {
+        /** The operators weigh an accelerator like 8 cores. */
+        private const val MILLI_CORES_PER_ACCELERATOR = 8_000L
+
         /** The empty amount. */
         val NONE = Resources(milliCores = 0, memoryMiB = 0, accelerators = 0)
     }
--- a/core/src/main/kotlin/org/auburnlever/workload/RunOrders.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/RunOrders.kt
@@ -1,7 +1,11 @@
 package org.auburnlever.workload
 
-/** Orders the start of [run], whose assignment has been recorded, unless the task has changed since. */
-internal fun LeaderState.start(state: WorkloadState, run: TaskRun, nowMillis: Long) {
+/**
+ * Orders the start of [run], whose assignment has been recorded, unless the task has changed since.
+ *
+ * The lease counts from [confirmedMillis], when a majority last confirmed the leadership.
+ */
+internal fun LeaderState.start(state: WorkloadState, run: TaskRun, confirmedMillis: Long, nowMillis: Long) {
     val job = state.jobs[run.task.job]
     val task = job?.task(run.task)
     val ref = task?.worker?.takeIf { task.run == run.run }
@@ -9,7 +13,7 @@
     val view = workers[ref.id] ?: freshView(ref)
     put(run, RunView(ref, answeredMillis = null, progressMillis = nowMillis))
     put(view.copy(leaseEndMillis = nowMillis + limits.leaseSafeMillis))
-    val deadlineMillis = view.clockNowMillis(nowMillis) + limits.leaseMillis
+    val deadlineMillis = view.clockNowMillis(nowMillis) + limits.leaseMillis - (nowMillis - confirmedMillis)
     order(WorkerOrder.Start(ref, term, run, job.spec.payload, task.checkpoint, deadlineMillis))
     logDecision(
         "task_started",
--- a/core/src/main/kotlin/org/auburnlever/workload/WaitingStep.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/WaitingStep.kt
@@ -1,13 +1,26 @@
 package org.auburnlever.workload
 
-/** The [tasks] of one step, by index, that wait for workers. */
-internal class WaitingStep(val job: JobRecord, val id: StepId, val spec: StepSpec, val tasks: List<Int>) {
+/**
+ * The [tasks] of one step, by index, that wait for workers.
+ *
+ * @property guaranteed whether the job is within the guarantee of its account
+ */
+internal class WaitingStep(
+    val job: JobRecord,
+    val id: StepId,
+    val spec: StepSpec,
+    val tasks: List<Int>,
+    val guaranteed: Boolean = false,
+) {
     val priority: Int get() = job.policy.priority
 
     /** Number of the next run; higher than all earlier ones of the step. */
     val nextRun: Int
         get() = (job.step(id)?.tasks?.maxOf { it.run } ?: 0) + 1
 
+    /** Work of the waiting tasks by their estimate, in milli-core-milliseconds. */
+    val workMilliCoreMillis: Long get() = tasks.size * spec.reserved.weightMilliCores * spec.estimatedMillis
+
     /** Number of assigned tasks of the step by worker id; empty if the number on a worker is not limited. */
     val countsOnWorkers: Map<String, Int> by lazy(LazyThreadSafetyMode.NONE) {
         if (spec.maxTasksPerWorker <= 0) {
@@ -17,6 +30,9 @@
         }
     }
 
+    /** Returns the same step with other [tasks] or treated as another [spec]. */
+    fun with(tasks: List<Int> = this.tasks, spec: StepSpec = this.spec) = WaitingStep(job, id, spec, tasks, guaranteed)
+
     /** Returns how many more tasks of the step [worker] may run by the step's limit; its free resources don't count. */
     fun allowedOn(worker: WorkerCapacity): Int =
         if (spec.maxTasksPerWorker <= 0) {
--- a/core/src/main/kotlin/org/auburnlever/workload/WorkPlan.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/WorkPlan.kt
@@ -11,53 +11,63 @@
     val preempted: List<TaskRun> get() = preemptedFor.keys.toList()
 }
 
-/**
- * Decides which waiting tasks start now on which of [workers], and which runs are preempted.
- *
- * [stopping] are runs that have been told to stop. Work that is not urgent leaves [urgentReserve] accelerators free
- * while more than half of the fleet is in use, so that a stream of small urgent jobs does not have to preempt it.
- */
-fun planWork(
-    jobs: Collection<JobRecord>,
-    workers: Collection<WorkerView>,
-    stopping: Set<TaskRun>,
-    urgentReserve: Int,
-    nowMillis: Long,
-): WorkPlan {
-    val fleet = FleetCapacity.of(workers, jobs)
-    val preemptionPlanner = PreemptionPlanner(fleet, jobs, stopping, nowMillis)
-    val planner = WorkPlanner(fleet, preemptionPlanner, stopping, fleet.workersToReserve(urgentReserve))
-    jobs.asSequence()
+/** Decides which waiting tasks start now on which worker, and which runs are preempted for urgent ones. */
+fun planWork(input: PlanningInput, nowMillis: Long): WorkPlan {
+    val fleet = FleetCapacity.of(input.workers, input.jobs)
+    val guaranteed = guaranteedJobs(input.jobs, input.guarantees)
+    val planner = WorkPlanner(
+        fleet,
+        PreemptionPlanner(fleet, PreemptionUnits(input, guaranteed, nowMillis)),
+        PreemptionRules(input.limits, nowMillis),
+        reservedForUrgent = fleet.workersToReserve(input.urgentReserve),
+    )
+    input.jobs.asSequence()
         .filter { it.phase == JobPhase.ACTIVE }
-        .flatMap { it.waitingSteps(nowMillis) }
+        .flatMap { it.waitingSteps(nowMillis, it.id in guaranteed) }
         .sortedWith(waitingOrder(nowMillis))
         .forEach(planner::consider)
     return WorkPlan(planner.assignments, planner.preemptedFor)
 }
 
 /**
- * Orders steps by priority; within one, jobs that can still meet their objective come first, the earliest objective
- * first, then the late ones, the shortest first, since each late job is worth about the same small amount.
+ * Orders the waiting steps.
+ *
+ * Load pattern: more work waits than the fleet can hold, after a burst or after a time without a leader. Urgent jobs
+ * come first, those within a guarantee before the others. Among jobs of one priority, those that can still meet their
+ * objective come first, the earliest objective first. Then come the late ones, the shortest first, since each late
+ * answer is worth about the same, and last those whose answer is of no use any more, in the order of their acceptance.
  */
-private fun waitingOrder(nowMillis: Long): Comparator<WaitingStep> = compareBy(
-    { it.priority },
-    { it.isLate(nowMillis) },
-    { if (it.isLate(nowMillis)) it.job.criticalPathMillis() else it.job.objectiveMillis() },
-    { it.id.toString() },
-)
-
-private fun WaitingStep.isLate(nowMillis: Long): Boolean = nowMillis + spec.estimatedMillis > job.objectiveMillis()
+private fun waitingOrder(nowMillis: Long): Comparator<WaitingStep> {
+    val standings = HashMap<WaitingStep, JobStanding>()
+    val standing = { step: WaitingStep -> standings.getOrPut(step) { step.standing(nowMillis) } }
+    return compareBy(
+        { it.priority != URGENT },
+        { standing(it) == JobStanding.OVERDUE },
+        { it.priority },
+        { !it.guaranteed },
+        { standing(it) },
+        { step ->
+            when (standing(step)) {
+                JobStanding.ON_TIME -> step.job.objectiveMillis(step.id.occurrence)
+                JobStanding.LATE -> step.job.criticalPathMillis()
+                JobStanding.OVERDUE -> step.job.beginMillis(step.id.occurrence)
+            }
+        },
+        { it.id.toString() },
+    )
+}
 
 /** Returns the steps of due occurrences with tasks to start; a gang only if all of its tasks are waiting. */
-internal fun JobRecord.waitingSteps(nowMillis: Long): List<WaitingStep> =
+internal fun JobRecord.waitingSteps(nowMillis: Long, guaranteed: Boolean = false): List<WaitingStep> =
     (0 until spec.occurrenceCount).filter { spec.dueMillis(it) <= nowMillis }.flatMap { occurrence ->
         val records = steps(occurrence)
-        spec.steps.indices.mapNotNull { waitingStep(StepId(id, occurrence, it), records[it]) }
+        spec.steps.indices.mapNotNull { waitingStep(StepId(id, occurrence, it), records[it], guaranteed) }
     }
 
-private fun JobRecord.waitingStep(id: StepId, record: StepRecord): WaitingStep? {
+private fun JobRecord.waitingStep(id: StepId, record: StepRecord, guaranteed: Boolean): WaitingStep? {
     val stepSpec = spec.steps[id.step]
     val waiting = record.tasks.indices.filter { record.tasks[it].phase == TaskPhase.WAITING }
     val whole = !stepSpec.gang || waiting.size == record.tasks.size
-    return if (waiting.isNotEmpty() && whole && ready(id)) WaitingStep(this, id, stepSpec, waiting) else null
+    val startable = waiting.isNotEmpty() && whole && ready(id)
+    return if (startable) WaitingStep(this, id, stepSpec, waiting, guaranteed) else null
 }
--- a/core/src/main/kotlin/org/auburnlever/workload/WorkPlanner.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/WorkPlanner.kt
@@ -11,7 +11,7 @@
 internal class WorkPlanner(
     private val fleet: FleetCapacity,
     private val preemptionPlanner: PreemptionPlanner,
-    private val stopping: Set<TaskRun>,
+    private val rules: PreemptionRules,
     private val reservedForUrgent: Set<String>,
 ) {
     val assignments = ArrayList<Assignment>()
@@ -42,7 +42,7 @@
      */
     private fun reserveForGang(step: WaitingStep) {
         gangsWithReservation += 1
-        val singleTasks = WaitingStep(step.job, step.id, step.spec.copy(gang = false), step.tasks)
+        val singleTasks = step.with(spec = step.spec.copy(gang = false))
         val best = candidateSets(step).maxByOrNull { candidates -> fleet.trial { place(singleTasks, candidates).size } }
         if (best != null) place(singleTasks, best)
     }
@@ -52,7 +52,7 @@
         val fittingSet = candidateSets(step).firstOrNull { fits(step, it) }
         return when {
             fittingSet != null -> place(step, fittingSet)
-            step.spec.gang -> emptyMap()
+            step.spec.gang && !rules.reclaimIsDue(step) -> emptyMap()
             else -> place(step, pool(step).workers)
         }
     }
@@ -94,14 +94,29 @@
         }
     }
 
+    /**
+     * Reserves resources for the tasks of [step] beyond the first [placedCount], and stops work that does not end in
+     * time. If the rules forbid the stops, the step keeps its reservation until that work ends.
+     */
     private fun preemptFor(step: WaitingStep, placedCount: Int) {
-        val missing = WaitingStep(step.job, step.id, step.spec, step.tasks.drop(placedCount))
-        val preemption = preemptionPlanner.find(missing, candidateSets(missing)) ?: return
+        val missing = step.with(tasks = step.tasks.drop(placedCount))
+        val patienceMillis = rules.patienceMillis(missing)
+        val preemption = preemptionPlanner.find(missing, candidateSets(missing), patienceMillis)
+            ?: findAnywhere(missing, patienceMillis)
+            ?: return
         preemptionPlanner.reserve(missing, preemption)
-        val victims = preemption.victims.flatMap { it.runs }.map { it.first }
-        victims.filter { it !in stopping }.forEach { preemptedFor[it] = step.id }
+        if (rules.permits(missing, preemption)) {
+            preemption.stopped.flatMap { it.runs }.forEach { (run, _) -> preemptedFor[run] = step.id }
+        }
     }
 
+    private fun findAnywhere(step: WaitingStep, patienceMillis: Long): Preemption? =
+        if (rules.reclaimIsDue(step)) {
+            preemptionPlanner.find(step, listOf(pool(step).workers), patienceMillis)
+        } else {
+            null
+        }
+
     private companion object {
         /** Reserved resources are idle until the gang starts, so only the next few gangs get a reservation. */
         const val MAX_GANGS_WITH_RESERVATION = 2
--- a/core/src/main/kotlin/org/auburnlever/workload/WorkerReports.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/WorkerReports.kt
@@ -14,9 +14,19 @@
     if (newIncarnation || report.draining != wasDraining) logReport(report, newIncarnation)
 }
 
-/** Records that the worker [workerId] announced its shutdown. */
+/**
+ * Records that the worker [workerId] announced its shutdown.
+ *
+ * The announcement names no incarnation, and one that was held up may arrive after the worker has started again. A
+ * worker reports that it drains before it leaves, so an announcement of a worker that does not drain is ignored; if it
+ * was true, the worker's lease expires.
+ */
 internal fun LeaderState.handleLeave(workerId: String, nowMillis: Long) {
     val known = workers[workerId] ?: return
+    if (known.report?.draining == false) {
+        logDecision("departure_ignored", workerId, "bornMillis" to known.ref.startMillis)
+        return
+    }
     put(known.copy(departureMillis = nowMillis))
     logDecision("worker_left", workerId)
 }
--- a/core/src/main/kotlin/org/auburnlever/workload/WorkloadLimits.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/WorkloadLimits.kt
@@ -9,6 +9,8 @@
  * @property jobRetentionMillis how long the state of an ended job can be queried
  * @property stopMillis maximum time that a worker takes for a stop
  * @property longestLeaseMillis longest lease that a worker grants, whatever the order says
+ * @property reclaimMillis time from the acceptance of an urgent job within its account's guarantee until all tasks of
+ *   its first step must have begun
  */
 data class WorkloadLimits(
     val leaseMillis: Long = LEASE_MILLIS,
@@ -16,6 +18,7 @@
     val jobRetentionMillis: Long = JOB_RETENTION_MILLIS,
     val stopMillis: Long = STOP_MILLIS,
     val longestLeaseMillis: Long = LONGEST_LEASE_MILLIS,
+    val reclaimMillis: Long = RECLAIM_MILLIS,
 ) {
     /** Age of the last contact above which a worker gets no new work; two reports in a row may be lost. */
     val reportLimitMillis: Long get() = reportMillis * 2 + reportMillis / 2
@@ -29,6 +32,9 @@
     /** Time from the answer to a stop until the run has certainly ended and its end is listed. */
     val stopSafeMillis: Long get() = stopMillis + CALL_SLACK_MILLIS
 
+    /** Time from the decision to preempt work until the preempting task begins. */
+    val preemptionMillis: Long get() = stopMillis + PREEMPTION_CALLS_MILLIS
+
     private fun safe(lease: Long): Long = lease + lease * CLOCK_ERROR_PERCENT / PERCENT + CALL_SLACK_MILLIS
 
     private companion object {
@@ -41,6 +47,12 @@
         /** Longest lease of the workers in the operators' first deployments. */
         const val LONGEST_LEASE_MILLIS = 10_000L
 
+        /** Shortest time that the operators' deployments set. */
+        const val RECLAIM_MILLIS = 2_700L
+
+        /** A stop, the poll that lists the end, two commits between regions, a plan and a start. */
+        const val PREEMPTION_CALLS_MILLIS = 500L
+
         /** The protocol allows 2%; the rest covers the estimate of the worker's clock. */
         const val CLOCK_ERROR_PERCENT = 4L
         const val PERCENT = 100L
--- a/node/src/main/kotlin/org/auburnlever/fleet/DecisionLog.kt
+++ b/node/src/main/kotlin/org/auburnlever/fleet/DecisionLog.kt
@@ -19,6 +19,12 @@
         }
     }
 
+    /** Records that a decision of the leader failed with [cause] and had no effect. */
+    fun recordFailure(cause: RuntimeException) {
+        registry.counter("auburn.decision.failures").increment()
+        logger.error(cause) { "a decision failed; the leader learns the state of its workers anew" }
+    }
+
     /** Records that the worker answered [order] after [tookMillis]. */
     fun recordOrderDuration(order: WorkerOrder, tookMillis: Long) {
         val kind = when (order) {
--- a/node/src/main/kotlin/org/auburnlever/fleet/LeadershipTracker.kt
+++ b/node/src/main/kotlin/org/auburnlever/fleet/LeadershipTracker.kt
@@ -6,6 +6,7 @@
 import org.auburnlever.host.HostClock
 import org.auburnlever.host.Submission
 import org.auburnlever.workload.Coordinator
+import org.auburnlever.workload.CoordinatorEffect
 import org.auburnlever.workload.WorkloadLimits
 import org.auburnlever.workload.WorkloadReply
 import org.auburnlever.workload.WorkloadState
@@ -17,8 +18,8 @@
     /** Null until the entry at [readyIndex] is applied, and with it all that was committed before the term. */
     var coordinator: Coordinator? = null
 
-    /** Send time of the last leadership check that a majority confirmed. */
-    var confirmedMillis = 0L
+    /** The last leadership check that a majority confirmed. */
+    var confirmation = LeadershipConfirmation()
     var nextConfirmationMillis = 0L
     var lastTickMillis = 0L
     var nextTickMillis = 0L
@@ -30,6 +31,7 @@
     private val runner: GroupRunner<WorkloadState, WorkloadReply>,
     private val limits: WorkloadLimits,
     private val clock: HostClock,
+    private val decisions: DecisionLog,
 ) {
     /** The current term as leader; null while this host does not lead. */
     var current: LeadershipTerm? = null
@@ -57,16 +59,39 @@
     fun confirmIfDue(leadership: LeadershipTerm, nowMillis: Long) {
         if (nowMillis < leadership.nextConfirmationMillis) return
         leadership.nextConfirmationMillis = nowMillis + CONFIRMATION_INTERVAL_MILLIS
-        val askedMillis = clock.nowMillis()
+        val asked = LeadershipConfirmation(clock.nowMillis(), clock.timeOfDayMillis())
         val confirmation = runner.read()
         confirmation.invokeOnCompletion { failure ->
             val confirmed = failure == null && confirmation.getCompleted() is Submission.Applied
             if (confirmed) {
-                runner.execute { leadership.confirmedMillis = maxOf(leadership.confirmedMillis, askedMillis) }
+                runner.execute { leadership.confirmation = leadership.confirmation.newest(asked) }
             }
         }
     }
 
+    /** Returns when a majority last confirmed [leadership], by the monotonic clock. */
+    fun confirmedMillis(leadership: LeadershipTerm, nowMillis: Long): Long =
+        leadership.confirmation.confirmedMillis(nowMillis, clock.timeOfDayMillis())
+
+    /**
+     * Runs [decision] of the coordinator of [leadership].
+     *
+     * If it fails, a new coordinator takes over for the same term and learns from the recorded assignments and the
+     * workers, as after an election. Otherwise one report or answer that nobody expected would stop this host, and the
+     * same one the next leader.
+     */
+    @Suppress("TooGenericExceptionCaught") // Any exception of a decision is handled the same way.
+    fun decide(
+        leadership: LeadershipTerm,
+        decision: () -> List<CoordinatorEffect>,
+    ): List<CoordinatorEffect> = try {
+        decision()
+    } catch (e: RuntimeException) {
+        decisions.recordFailure(e)
+        leadership.coordinator = Coordinator(leadership.term, clock.nowMillis(), limits)
+        emptyList()
+    }
+
     private fun currentOrNew(view: GroupView<WorkloadState>): LeadershipTerm =
         current?.takeIf { it.term == view.term } ?: LeadershipTerm(view.term, view.lastIndex)
 
--- a/node/src/main/kotlin/org/auburnlever/fleet/WorkloadLeader.kt
+++ b/node/src/main/kotlin/org/auburnlever/fleet/WorkloadLeader.kt
@@ -36,7 +36,7 @@
     private val clock: HostClock,
     private val decisions: DecisionLog,
 ) {
-    private val leadershipTracker = LeadershipTracker(runner, limits, clock)
+    private val leadershipTracker = LeadershipTracker(runner, limits, clock, decisions)
 
     init {
         runner.afterBatch = { afterBatch(it) }
@@ -59,7 +59,9 @@
         runner.execute {
             val current = leadershipTracker.current
             val coordinator = current?.coordinator
-            if (current != null && coordinator != null) carryOut(current, call(coordinator))
+            if (current != null && coordinator != null) {
+                carryOut(current, leadershipTracker.decide(current) { call(coordinator) })
+            }
             accepted.complete(coordinator != null)
         }
         return accepted.await()
@@ -81,7 +83,10 @@
         if (nowMillis >= current.nextTickMillis) {
             current.lastTickMillis = nowMillis
             current.nextTickMillis = nowMillis + TICK_MILLIS
-            carryOut(current, coordinator.tick(view.state, current.confirmedMillis, nowMillis))
+            val confirmedMillis = leadershipTracker.confirmedMillis(current, nowMillis)
+            val effects =
+                leadershipTracker.decide(current) { coordinator.tick(view.state, confirmedMillis, nowMillis) }
+            carryOut(current, effects)
         }
     }
 
@@ -108,10 +113,13 @@
         val nowMillis = clock.nowMillis()
         val submission = result.getCompleted()
         val effects = if (submission is Submission.Applied) {
-            coordinator.onApplied(runner.view.state, tag, submission.reply, nowMillis)
+            val confirmedMillis = leadershipTracker.confirmedMillis(current, nowMillis)
+            leadershipTracker.decide(current) {
+                coordinator.onApplied(runner.view.state, tag, submission.reply, confirmedMillis, nowMillis)
+            }
         } else {
             logger.warn { "a decision was not recorded in the log: $submission" }
-            coordinator.onNotApplied(tag, nowMillis)
+            leadershipTracker.decide(current) { coordinator.onNotApplied(tag, nowMillis) }
         }
         carryOut(current, effects)
     }
@@ -126,7 +134,10 @@
                 decisions.recordOrderDuration(order, nowMillis - sentMillis)
                 if (current === leadershipTracker.current && coordinator != null) {
                     val state = runner.view.state
-                    carryOut(current, coordinator.onAnswer(state, order, answer, sentMillis, nowMillis))
+                    val effects = leadershipTracker.decide(current) {
+                        coordinator.onAnswer(state, order, answer, sentMillis, nowMillis)
+                    }
+                    carryOut(current, effects)
                 }
             }
         }
--- a/node/src/main/kotlin/org/auburnlever/host/HostClock.kt
+++ b/node/src/main/kotlin/org/auburnlever/host/HostClock.kt
@@ -14,4 +14,7 @@
 
     /** Returns the current time. */
     fun nowMillis(): Long = startMillis + (System.nanoTime() - startNanos) / NANOS_PER_MILLI
+
+    /** Returns the system's time of day, which also advances while the machine is suspended, and may jump. */
+    fun timeOfDayMillis(): Long = System.currentTimeMillis()
 }
