Turn jobs away that can't end while their answer is of use

Cause: nothing was ever refused for want of capacity, so under a load beyond the fleet each job waited behind ever more others, and callers learned of it when their time was over.

Change: each plan leaves the backlog of each service by priority. A job whose shortest possible wait lets it end only after three objectives is refused at once with 503 and the time after which it would be in time; jobs that were refused before count as waiting ahead, so that callers come back one after the other. Jobs within a guarantee, scheduled and long-running ones are always accepted. The refusal is decided when the command is applied: a job that an earlier attempt stored is not refused, and after a lost reply a refusal ends as undecided.

--- a/core/src/main/kotlin/org/auburnlever/workload/ApplyWorkload.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/ApplyWorkload.kt
@@ -42,13 +42,15 @@
                 AppliedWorkload(this, WorkloadReply.NotAdmitted(Inadmissible.NO_JOB))
             admitted.queue.policy.needsAdvice ->
                 AppliedWorkload(this, WorkloadReply.NotAdmitted(Inadmissible.NEEDS_ADVICE))
+            command.turnAway -> AppliedWorkload(this, WorkloadReply.NotAdmitted(Inadmissible.OVERLOADED))
             else -> AppliedWorkload(with(newJob(admitted, command.spec)), WorkloadReply.Done)
         }
     },
     { AppliedWorkload(this, WorkloadReply.NotAdmitted(it)) },
 )
 
-private fun WorkloadState.newJob(admitted: AdmittedCall, spec: JobSpec) = JobRecord(
+/** Returns the record of a job that passed admission, as accepted now. */
+internal fun WorkloadState.newJob(admitted: AdmittedCall, spec: JobSpec) = JobRecord(
     id = admitted.relativePath,
     queue = admitted.queue.name,
     service = admitted.queue.service,
--- a/core/src/main/kotlin/org/auburnlever/workload/Coordinator.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/Coordinator.kt
@@ -1,5 +1,7 @@
 package org.auburnlever.workload
 
+import com.github.michaelbull.result.get
+
 /**
  * Makes the leader's scheduling decisions: which workers may get work, which tasks start and stop, which runs ended.
  *
@@ -10,6 +12,7 @@
 class Coordinator(term: Long, electedMillis: Long, private val limits: WorkloadLimits) {
     private val leader = LeaderState(term, electedMillis, limits)
     private var demand = UrgentDemand()
+    private var forecast = AdmissionForecast()
     private var assigning = false
     private var nextPlanMillis = electedMillis + limits.reportMillis / 2
     private var lastPlanMillis = 0L
@@ -81,6 +84,21 @@
         nextPlanMillis = nowMillis + PLAN_INTERVAL_MILLIS
     }
 
+    /**
+     * Returns after how many milliseconds a caller should submit the job [spec] again, or null if it is to be accepted.
+     *
+     * The answer is a forecast; whether the job is turned away is decided when its command is applied.
+     */
+    fun retryAfterMillis(state: WorkloadState, address: JobAddress, spec: JobSpec, nowMillis: Long): Long? {
+        val job = state.admit(address).get()?.let { state.copy(nowMillis = nowMillis).newJob(it, spec) } ?: return null
+        val guaranteed = job.id in guaranteedJobs(state.jobs.values + job, state.guarantees())
+        val retryAfterMillis = forecast.retryAfterMillis(job, guaranteed)
+        if (retryAfterMillis != null && job.id !in state.jobs) {
+            forecast = forecast.turnedAway(job, nowMillis + retryAfterMillis)
+        }
+        return retryAfterMillis
+    }
+
     /** Schedules a plan after a change of jobs or of the catalog; changes in quick succession share one plan. */
     fun onChange(nowMillis: Long) {
         nextPlanMillis = minOf(nextPlanMillis, maxOf(nowMillis, lastPlanMillis + MIN_PLAN_GAP_MILLIS))
@@ -130,6 +148,7 @@
             limits = limits,
         )
         val plan = planWork(input, nowMillis)
+        forecast = forecast.updated(backlogAfter(plan, input, nowMillis), nowMillis)
         plan.preemptedFor.forEach { (run, step) ->
             logDecision("task_displaced", run.toString(), "for" to step)
             runs[run]?.let { stop(run, it, nowMillis) }
--- a/core/src/main/kotlin/org/auburnlever/workload/FleetCall.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/FleetCall.kt
@@ -66,10 +66,10 @@
     @SerialName("document")
     data class Document(val document: String?) : FleetAnswer
 
-    /** The call was refused and had no effect. */
+    /** The call was refused and had no effect; it may succeed after [retryAfterMillis], if that is given. */
     @Serializable
     @SerialName("not_admitted")
-    data class NotAdmitted(val reason: Inadmissible) : FleetAnswer
+    data class NotAdmitted(val reason: Inadmissible, val retryAfterMillis: Long? = null) : FleetAnswer
 
     /** Accepted by [leader], which the caller can address directly from now on. */
     @Serializable
--- a/core/src/main/kotlin/org/auburnlever/workload/JobStanding.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/JobStanding.kt
@@ -15,14 +15,16 @@
 /** Returns how the step would stand if it started now. */
 internal fun WaitingStep.standing(nowMillis: Long): JobStanding {
     val endMillis = nowMillis + spec.estimatedMillis
-    val beginMillis = job.beginMillis(id.occurrence)
     val objectiveMillis = job.objectiveMillis(id.occurrence)
     return when {
         spec.longRunning || endMillis <= objectiveMillis -> JobStanding.ON_TIME
-        endMillis <= beginMillis + (objectiveMillis - beginMillis) * USELESS_AFTER_OBJECTIVES -> JobStanding.LATE
+        endMillis <= job.beginMillis(id.occurrence) + job.usefulMillis() -> JobStanding.LATE
         else -> JobStanding.OVERDUE
     }
 }
 
+/** Returns the time from a job's begin after which its answer is of no use any more. */
+internal fun JobRecord.usefulMillis(): Long = (objectiveMillis() - beginMillis()) * USELESS_AFTER_OBJECTIVES
+
 /** Multiple of the objective after which an answer is of no use to the operators' callers. */
 private const val USELESS_AFTER_OBJECTIVES = 3
--- a/core/src/main/kotlin/org/auburnlever/workload/WorkloadCommand.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/WorkloadCommand.kt
@@ -11,10 +11,15 @@
     @SerialName("change_catalog")
     data class ChangeCatalog(val catalog: Catalog, val document: String) : WorkloadCommand
 
-    /** Stores a job that was submitted to [address]; a job whose id is stored already changes nothing. */
+    /**
+     * Stores a job that was submitted to [address]; a job whose id is stored already changes nothing.
+     *
+     * With [turnAway], the job is refused if it is not stored yet. Only the log tells whether an earlier attempt was
+     * accepted, so the leader can't refuse a job without a command.
+     */
     @Serializable
     @SerialName("accept_job")
-    data class AcceptJob(val address: JobAddress, val spec: JobSpec) : WorkloadCommand
+    data class AcceptJob(val address: JobAddress, val spec: JobSpec, val turnAway: Boolean = false) : WorkloadCommand
 
     /** Cancels a job. */
     @Serializable
@@ -109,4 +114,7 @@
 
     /** The queue's jobs need tickets of a policy service, which this version does not request. */
     NEEDS_ADVICE,
+
+    /** The fleet has more work than it can do while the job's answer is of use. */
+    OVERLOADED,
 }
--- a/node/src/main/kotlin/org/auburnlever/fleet/ControlHost.kt
+++ b/node/src/main/kotlin/org/auburnlever/fleet/ControlHost.kt
@@ -103,7 +103,7 @@
                 )
                 val decisions = DecisionLog(registry)
                 val leader = WorkloadLeader(runner, workers, settings.limits, scope, clock, decisions)
-                components = Components(runner, leader, FleetCallHandler(runner, leader, decisions))
+                components = Components(runner, leader, FleetCallHandler(runner, leader, decisions, clock))
                 runner.start()
                 runBlocking { transport.start() }
                 settings.seedHosts.forEach(peers::dial)
--- a/node/src/main/kotlin/org/auburnlever/fleet/FleetCallHandler.kt
+++ b/node/src/main/kotlin/org/auburnlever/fleet/FleetCallHandler.kt
@@ -1,11 +1,13 @@
 package org.auburnlever.fleet
 
 import org.auburnlever.host.GroupRunner
+import org.auburnlever.host.HostClock
 import org.auburnlever.host.Submission
 import org.auburnlever.model.HostName
 import org.auburnlever.workload.DecisionLogEntry
 import org.auburnlever.workload.FleetAnswer
 import org.auburnlever.workload.FleetCall
+import org.auburnlever.workload.Inadmissible
 import org.auburnlever.workload.WorkloadCommand
 import org.auburnlever.workload.WorkloadReply
 import org.auburnlever.workload.WorkloadState
@@ -16,13 +18,13 @@
     private val runner: GroupRunner<WorkloadState, WorkloadReply>,
     private val leader: WorkloadLeader,
     private val decisions: DecisionLog,
+    private val clock: HostClock,
 ) {
     /** Answers a change once it is durable, and a read from a state at least as recent as [call]. */
     suspend fun handle(call: FleetCall): Submission<FleetAnswer> {
         if (!leader.leads) return notLeader()
         return when (call) {
-            is FleetCall.SubmitJob ->
-                submit("job_submitted", call.address.path, WorkloadCommand.AcceptJob(call.address, call.spec))
+            is FleetCall.SubmitJob -> submitJob(call)
             is FleetCall.CancelJob ->
                 submit("job_cancel", call.address.path, WorkloadCommand.CancelJob(call.address))
             is FleetCall.ChangeCatalog ->
@@ -34,15 +36,34 @@
         }
     }
 
+    private suspend fun submitJob(call: FleetCall.SubmitJob): Submission<FleetAnswer> {
+        var retryAfterMillis: Long? = null
+        val result = leader.submit { coordinator ->
+            val state = runner.view.state
+            retryAfterMillis = coordinator?.retryAfterMillis(state, call.address, call.spec, clock.nowMillis())
+            WorkloadCommand.AcceptJob(call.address, call.spec, turnAway = retryAfterMillis != null)
+        }
+        logOutcome("job_submitted", call.address.path.substringAfterLast('/'), result)
+        val answer = result.toAnswer()
+        val refusal = (answer as? Submission.Applied)?.reply as? FleetAnswer.NotAdmitted
+        return if (refusal?.reason == Inadmissible.OVERLOADED) {
+            Submission.Applied(refusal.copy(retryAfterMillis = retryAfterMillis))
+        } else {
+            answer
+        }
+    }
+
     private suspend fun submit(event: String, id: String, command: WorkloadCommand): Submission<FleetAnswer> {
-        val result = leader.submit(command)
+        val result = leader.submit { command }
         logOutcome(event, id.substringAfterLast('/'), result)
-        return when (result) {
-            is Submission.Applied -> Submission.Applied(result.reply.toAnswer())
-            is Submission.NotLeader -> result
-            is Submission.Refused -> result
-            is Submission.Undecided -> result
-        }
+        return result.toAnswer()
+    }
+
+    private fun Submission<WorkloadReply>.toAnswer(): Submission<FleetAnswer> = when (this) {
+        is Submission.Applied -> Submission.Applied(reply.toAnswer())
+        is Submission.NotLeader -> this
+        is Submission.Refused -> this
+        is Submission.Undecided -> this
     }
 
     /** Logs the outcome of a call, with the version of the catalog (the desired state) that it was decided with. */
--- a/node/src/main/kotlin/org/auburnlever/fleet/FleetClient.kt
+++ b/node/src/main/kotlin/org/auburnlever/fleet/FleetClient.kt
@@ -14,6 +14,7 @@
 import org.auburnlever.transport.PeerTransport
 import org.auburnlever.workload.FleetAnswer
 import org.auburnlever.workload.FleetCall
+import org.auburnlever.workload.Inadmissible
 
 /** Calls the leader of the workload group from any host. */
 class FleetClient internal constructor(
@@ -31,12 +32,15 @@
      */
     suspend fun ask(call: FleetCall, timeoutMillis: Long): Result<FleetAnswer, SubmitError> {
         val askLocal = local?.let { answer -> suspend { answer(call).also(::remember) } }
-        val request = LeaderRequest(WORKLOAD_GROUP, askLocal, PeerRequest.Fleet(call)) { reply ->
+        val request = LeaderRequest(WORKLOAD_GROUP, askLocal, PeerRequest.Fleet(call), ::isTurnedAway) { reply ->
             decode(reply) { (it as? PeerReply.Fleet)?.answer }.also(::remember)
         }
         return leaderClient.ask(request, timeoutMillis, NO_LEADER_TIMEOUT_MILLIS)
     }
 
+    private fun isTurnedAway(answer: FleetAnswer): Boolean =
+        answer is FleetAnswer.NotAdmitted && answer.reason == Inadmissible.OVERLOADED
+
     private fun remember(answer: Submission<FleetAnswer>) {
         if (answer is Submission.NotLeader) hint.update(answer.leader)
     }
--- a/node/src/main/kotlin/org/auburnlever/fleet/WorkloadLeader.kt
+++ b/node/src/main/kotlin/org/auburnlever/fleet/WorkloadLeader.kt
@@ -45,8 +45,16 @@
     /** Whether this host leads and has applied all that was committed before its term. */
     val leads: Boolean get() = leadershipTracker.ready
 
-    /** Proposes [command] to this replica and waits for the result. */
-    suspend fun submit(command: WorkloadCommand): Submission<WorkloadReply> = propose(command).await()
+    /**
+     * Proposes a command to this replica and waits for the result.
+     *
+     * [command] is called on the decision thread, with the coordinator if this host leads.
+     */
+    suspend fun submit(command: (Coordinator?) -> WorkloadCommand): Submission<WorkloadReply> {
+        val proposed = CompletableDeferred<CompletableDeferred<Submission<WorkloadReply>>>()
+        runner.execute { proposed.complete(propose(command(leadershipTracker.current?.coordinator))) }
+        return proposed.await().await()
+    }
 
     /** Passes [report] to the coordinator; returns false if this host does not lead. */
     suspend fun onReport(report: WorkerReport): Boolean = withCoordinator { it.onReport(report, clock.nowMillis()) }
