Throw away at most eight times its own work for an urgent job

By the operators' prices, an urgent answer in time is worth what about nine times its own work costs when it is thrown away.

Change: the bound is eight times the own work, for all urgent jobs; it is lifted only when a job would otherwise not begin within its guarantee.

--- a/core/src/main/kotlin/org/auburnlever/workload/PreemptionRules.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/PreemptionRules.kt
@@ -24,9 +24,13 @@
         }
     }
 
-    /** Returns whether [preemption] may be carried out for [step]. */
+    /**
+     * Returns whether [preemption] may be carried out for [step].
+     *
+     * More than a multiple of its own work is thrown away only where a guarantee could not be honoured otherwise.
+     */
     fun permits(step: WaitingStep, preemption: Preemption): Boolean =
-        step.guaranteed || preemption.lostMilliCoreMillis <= step.workMilliCoreMillis * MAX_LOST_MULTIPLE
+        preemption.lostMilliCoreMillis <= step.workMilliCoreMillis * MAX_LOST_MULTIPLE || reclaimIsDue(step)
 
     /** Returns whether [step] must take any workers now to begin within its guarantee, however slow they are for it. */
     fun reclaimIsDue(step: WaitingStep): Boolean =
@@ -47,6 +51,6 @@
         const val RECLAIM_MARGIN_MILLIS = 500L
 
         /** Work that may be thrown away for one urgent step, as a multiple of its own work. */
-        const val MAX_LOST_MULTIPLE = 3
+        const val MAX_LOST_MULTIPLE = 8
     }
 }
