Turn nothing away on an incomplete view of the fleet

Cause, found in review: the forecast divided the backlog by the workers that could get work at that moment. A new leader knows few workers in its first seconds, and workers that are cut off for a moment don't count as usable, so jobs could have been refused that the fleet would have served.

Change: no forecast before each worker had time for three reports, and all workers count that have not announced that they leave.

--- a/core/src/main/kotlin/org/auburnlever/workload/Coordinator.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/Coordinator.kt
@@ -13,6 +13,9 @@
     private val leader = LeaderState(term, electedMillis, limits)
     private var demand = UrgentDemand()
     private var forecast = AdmissionForecast()
+
+    // Until then, workers may be unknown only because their reports have not come yet.
+    private val forecastFromMillis = electedMillis + limits.reportMillis * REPORTS_UNTIL_FORECAST
     private var assigning = false
     private var nextPlanMillis = electedMillis + limits.reportMillis / 2
     private var lastPlanMillis = 0L
@@ -148,7 +151,9 @@
             limits = limits,
         )
         val plan = planWork(input, nowMillis)
-        forecast = forecast.updated(backlogAfter(plan, input, nowMillis), nowMillis)
+        if (nowMillis >= forecastFromMillis) {
+            forecast = forecast.updated(backlogAfter(plan, input, workers.values, nowMillis), nowMillis)
+        }
         plan.preemptedFor.forEach { (run, step) ->
             logDecision("task_displaced", run.toString(), "for" to step)
             runs[run]?.let { stop(run, it, nowMillis) }
@@ -171,6 +176,9 @@
 
         /** One election timeout: without a confirmation for this long, another leader may have been elected. */
         const val CONFIRMATION_LIMIT_MILLIS = 1_000L
+
+        /** Reports that each worker has sent by then, of which one may be late and one lost. */
+        const val REPORTS_UNTIL_FORECAST = 3
         const val FORGET_INTERVAL_MILLIS = 20_000L
         const val SUMMARY_INTERVAL_MILLIS = 4_000L
     }
--- a/core/src/main/kotlin/org/auburnlever/workload/ServiceBacklog.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/ServiceBacklog.kt
@@ -5,7 +5,7 @@
 /**
  * The work that a plan left waiting for the workers of one service.
  *
- * @property workerCount number of workers that may get work
+ * @property workerCount number of workers that have not announced that they leave
  * @property largestWorker capacity of the largest of them
  * @property waitingWorkerMillis waiting work by priority, as the time for which it would occupy one whole worker
  */
@@ -28,14 +28,23 @@
 /**
  * Returns the backlog of each service once [plan] is carried out.
  *
+ * All [knownWorkers] count that don't leave, since those that are silent or suspended for a moment will work again.
  * Work whose answer is of no use any more is not counted, since it runs after all other work.
  */
-internal fun backlogAfter(plan: WorkPlan, input: PlanningInput, nowMillis: Long): Map<ServiceName, ServiceBacklog> {
+internal fun backlogAfter(
+    plan: WorkPlan,
+    input: PlanningInput,
+    knownWorkers: Collection<WorkerView>,
+    nowMillis: Long,
+): Map<ServiceName, ServiceBacklog> {
     val placed = plan.assignments.associate { it.step to it.workers.size }
     val waiting = input.jobs.filter { it.phase == JobPhase.ACTIVE }.flatMap { it.waitingSteps(nowMillis) }
         .filter { it.standing(nowMillis) != JobStanding.OVERDUE }
         .groupBy { it.job.service }
-    val reports = input.workers.mapNotNull { it.report }.groupBy { it.service }
+    val reports = knownWorkers.filter { it.departureMillis == null }
+        .mapNotNull { it.report }
+        .filterNot { it.draining }
+        .groupBy { it.service }
     return reports.mapValues { (service, ofService) ->
         val largest = ofService.maxByOrNull { it.capacity.weightMilliCores }?.capacity ?: Resources.NONE
         val byPriority = waiting[service].orEmpty().groupBy({ it.priority }) { step ->
--- a/core/src/test/kotlin/org/auburnlever/workload/AdmissionForecastTest.kt
+++ b/core/src/test/kotlin/org/auburnlever/workload/AdmissionForecastTest.kt
@@ -14,11 +14,16 @@
     private val coordinator = Coordinator(term = 1, electedMillis = 10_000, WorkloadLimits())
     private val spec = JobSpec("payload", listOf(step(tasks = 1, accelerators = 8)))
 
-    /** Two workers and [jobs] waiting routine jobs, each of which takes a whole worker for 2 s. */
-    private fun flood(jobs: Int) {
+    /**
+     * Two workers and [jobs] waiting routine jobs, each of which takes a whole worker for 2 s. The second worker has
+     * been silent for [silentMillis].
+     */
+    private fun flood(jobs: Int, electedAgoMillis: Long = 10_000, silentMillis: Long = 1_000) {
+        workload.nowMillis += electedAgoMillis
         listOf("1", "2").forEach { coordinator.onReport(report(it), workload.nowMillis) }
         repeat(jobs) { workload.submit("routine", "%016x".format(it + 1_000), step(tasks = 1, accelerators = 8)) }
-        workload.nowMillis += 1_000
+        workload.nowMillis += silentMillis
+        coordinator.onReport(report("1", sequence = 2), workload.nowMillis)
         coordinator.tick(workload.state, workload.nowMillis, workload.nowMillis)
     }
 
@@ -42,6 +47,22 @@
         assertEquals(20_000 + 2_000 - 15_000, retryAfterMillis("routine"))
     }
 
+    /** Guards against a new leader that refuses work because it has not heard of most workers yet. */
+    @Test
+    fun `a new leader turns nothing away before it knows the fleet`() {
+        flood(jobs = 100, electedAgoMillis = 0)
+
+        assertNull(retryAfterMillis("routine"))
+    }
+
+    /** Guards against refusing work because workers are silent for a moment. */
+    @Test
+    fun `workers that are silent for a moment count in the forecast`() {
+        flood(jobs = 12, silentMillis = 4_500)
+
+        assertNull(retryAfterMillis("routine"))
+    }
+
     /** Guards against clients that all come back at the same moment. */
     @Test
     fun `each job that is turned away is asked back later than the one before`() {
