Split core/workload into packages

Cause: 46 files in one flat folder, to which several parts are added now. Change: moves only. Files go to workload.state (replicated state and its changes), workload.planning, workload.admission and workload.runs (what the leader knows of workers and runs); imports follow. Coordinator, its effects, the fleet calls and the limits stay in workload. No declaration changes.

--- a/core/src/main/kotlin/org/auburnlever/workload/Coordinator.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/Coordinator.kt
@@ -1,6 +1,42 @@
 package org.auburnlever.workload
 
 import com.github.michaelbull.result.get
+import org.auburnlever.workload.admission.AdmissionForecast
+import org.auburnlever.workload.admission.backlogAfter
+import org.auburnlever.workload.planning.PlanningInput
+import org.auburnlever.workload.planning.RunProgress
+import org.auburnlever.workload.planning.UrgentDemand
+import org.auburnlever.workload.planning.guaranteedJobs
+import org.auburnlever.workload.planning.planWork
+import org.auburnlever.workload.runs.LeaderState
+import org.auburnlever.workload.runs.OrderAnswer
+import org.auburnlever.workload.runs.WorkerOrder
+import org.auburnlever.workload.runs.WorkerReport
+import org.auburnlever.workload.runs.adoptRuns
+import org.auburnlever.workload.runs.forgetEndedRuns
+import org.auburnlever.workload.runs.handleEndsNotRecorded
+import org.auburnlever.workload.runs.handleEndsRecorded
+import org.auburnlever.workload.runs.handleLeave
+import org.auburnlever.workload.runs.handlePollAnswer
+import org.auburnlever.workload.runs.handleReport
+import org.auburnlever.workload.runs.handleStalledRuns
+import org.auburnlever.workload.runs.handleStartAnswer
+import org.auburnlever.workload.runs.handleStopAnswer
+import org.auburnlever.workload.runs.logUnresolvedRuns
+import org.auburnlever.workload.runs.pollWorkers
+import org.auburnlever.workload.runs.recordLostRuns
+import org.auburnlever.workload.runs.start
+import org.auburnlever.workload.runs.stop
+import org.auburnlever.workload.runs.stopUnwantedRuns
+import org.auburnlever.workload.runs.updateReachability
+import org.auburnlever.workload.state.JobAddress
+import org.auburnlever.workload.state.JobSpec
+import org.auburnlever.workload.state.WorkloadCommand
+import org.auburnlever.workload.state.WorkloadReply
+import org.auburnlever.workload.state.WorkloadState
+import org.auburnlever.workload.state.admit
+import org.auburnlever.workload.state.guarantees
+import org.auburnlever.workload.state.newJob
 
 /**
  * Makes the leader's scheduling decisions: which workers may get work, which tasks start and stop, which runs ended.
--- a/core/src/main/kotlin/org/auburnlever/workload/CoordinatorEffect.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/CoordinatorEffect.kt
@@ -1,5 +1,10 @@
 package org.auburnlever.workload
 
+import org.auburnlever.workload.runs.WorkerOrder
+import org.auburnlever.workload.state.TaskRun
+import org.auburnlever.workload.state.WorkerRef
+import org.auburnlever.workload.state.WorkloadCommand
+
 /** An action that a [Coordinator] asks its driver to perform. */
 sealed interface CoordinatorEffect {
     /** Propose [command]; the result is passed to [Coordinator.onApplied] or [Coordinator.onNotApplied]. */
--- a/core/src/main/kotlin/org/auburnlever/workload/FleetCall.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/FleetCall.kt
@@ -3,6 +3,13 @@
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 import org.auburnlever.model.HostName
+import org.auburnlever.workload.runs.WorkerReport
+import org.auburnlever.workload.state.Catalog
+import org.auburnlever.workload.state.Inadmissible
+import org.auburnlever.workload.state.JobAddress
+import org.auburnlever.workload.state.JobPhase
+import org.auburnlever.workload.state.JobRecord
+import org.auburnlever.workload.state.JobSpec
 
 /** A request of an entry host or a control host to the leader of the workload group. */
 @Serializable
--- a/core/src/main/kotlin/org/auburnlever/workload/FleetSummary.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/FleetSummary.kt
@@ -1,5 +1,10 @@
 package org.auburnlever.workload
 
+import org.auburnlever.workload.planning.FleetCapacity
+import org.auburnlever.workload.runs.LeaderState
+import org.auburnlever.workload.state.JobPhase
+import org.auburnlever.workload.state.WorkloadState
+
 /**
  * Logs the free capacity and the number of waiting jobs, and the jobs that have waited longest for their first task.
  *
--- a/core/src/main/kotlin/org/auburnlever/workload/AdmissionForecast.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/admission/AdmissionForecast.kt
@@ -1,6 +1,8 @@
-package org.auburnlever.workload
+package org.auburnlever.workload.admission
 
 import org.auburnlever.model.ServiceName
+import org.auburnlever.workload.planning.usefulMillis
+import org.auburnlever.workload.state.JobRecord
 
 /**
  * Decides which jobs are turned away because they could not end while their answer is of use.
--- a/core/src/main/kotlin/org/auburnlever/workload/ServiceBacklog.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/admission/ServiceBacklog.kt
@@ -1,6 +1,15 @@
-package org.auburnlever.workload
+package org.auburnlever.workload.admission
 
 import org.auburnlever.model.ServiceName
+import org.auburnlever.workload.planning.JobStanding
+import org.auburnlever.workload.planning.PlanningInput
+import org.auburnlever.workload.planning.WorkPlan
+import org.auburnlever.workload.planning.standing
+import org.auburnlever.workload.planning.waitingSteps
+import org.auburnlever.workload.runs.WorkerView
+import org.auburnlever.workload.state.JobPhase
+import org.auburnlever.workload.state.Resources
+import org.auburnlever.workload.state.StepSpec
 
 /**
  * The work that a plan left waiting for the workers of one service.
--- a/core/src/main/kotlin/org/auburnlever/workload/FleetCapacity.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/planning/FleetCapacity.kt
@@ -1,6 +1,15 @@
-package org.auburnlever.workload
+package org.auburnlever.workload.planning
 
 import org.auburnlever.model.ServiceName
+import org.auburnlever.workload.runs.WorkerReport
+import org.auburnlever.workload.runs.WorkerView
+import org.auburnlever.workload.state.JobRecord
+import org.auburnlever.workload.state.Resources
+import org.auburnlever.workload.state.TaskId
+import org.auburnlever.workload.state.TaskRecord
+import org.auburnlever.workload.state.WorkerRef
+import org.auburnlever.workload.state.record
+import org.auburnlever.workload.state.runsAlone
 
 /**
  * The free resources of a worker that may get new work.
--- a/core/src/main/kotlin/org/auburnlever/workload/GuaranteedJobs.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/planning/GuaranteedJobs.kt
@@ -1,6 +1,8 @@
-package org.auburnlever.workload
+package org.auburnlever.workload.planning
 
 import org.auburnlever.model.AccountName
+import org.auburnlever.workload.state.JobPhase
+import org.auburnlever.workload.state.JobRecord
 
 /**
  * Returns the ids of the urgent jobs that are within the guarantee of their account.
--- a/core/src/main/kotlin/org/auburnlever/workload/JobStanding.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/planning/JobStanding.kt
@@ -1,4 +1,6 @@
-package org.auburnlever.workload
+package org.auburnlever.workload.planning
+
+import org.auburnlever.workload.state.JobRecord
 
 /** How a job that is still to run stands against its completion objective. */
 internal enum class JobStanding {
--- a/core/src/main/kotlin/org/auburnlever/workload/PlanningInput.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/planning/PlanningInput.kt
@@ -1,6 +1,10 @@
-package org.auburnlever.workload
+package org.auburnlever.workload.planning
 
 import org.auburnlever.model.AccountName
+import org.auburnlever.workload.WorkloadLimits
+import org.auburnlever.workload.runs.WorkerView
+import org.auburnlever.workload.state.JobRecord
+import org.auburnlever.workload.state.TaskRun
 
 /**
  * What a plan is made from.
--- a/core/src/main/kotlin/org/auburnlever/workload/PreemptionOffer.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/planning/PreemptionOffer.kt
@@ -1,4 +1,6 @@
-package org.auburnlever.workload
+package org.auburnlever.workload.planning
+
+import org.auburnlever.workload.state.Resources
 
 /**
  * The units that have to end on a worker to fit one more task.
--- a/core/src/main/kotlin/org/auburnlever/workload/PreemptionPlanner.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/planning/PreemptionPlanner.kt
@@ -1,4 +1,6 @@
-package org.auburnlever.workload
+package org.auburnlever.workload.planning
+
+import org.auburnlever.workload.state.Resources
 
 /**
  * A set of units that must end for a step.
--- a/core/src/main/kotlin/org/auburnlever/workload/PreemptionRules.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/planning/PreemptionRules.kt
@@ -1,4 +1,6 @@
-package org.auburnlever.workload
+package org.auburnlever.workload.planning
+
+import org.auburnlever.workload.WorkloadLimits
 
 /**
  * Decides how long an urgent step waits for running work to end, and how much work may be thrown away for it.
--- a/core/src/main/kotlin/org/auburnlever/workload/PreemptionUnit.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/planning/PreemptionUnit.kt
@@ -1,4 +1,12 @@
-package org.auburnlever.workload
+package org.auburnlever.workload.planning
+
+import org.auburnlever.workload.state.JobRecord
+import org.auburnlever.workload.state.Resources
+import org.auburnlever.workload.state.StepSpec
+import org.auburnlever.workload.state.TaskId
+import org.auburnlever.workload.state.TaskRecord
+import org.auburnlever.workload.state.TaskRun
+import org.auburnlever.workload.state.WorkerRef
 
 /**
  * Runs of a job that can only be preempted together: the members of a gang, or a single run.
--- a/core/src/main/kotlin/org/auburnlever/workload/RunProgress.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/planning/RunProgress.kt
@@ -1,4 +1,8 @@
-package org.auburnlever.workload
+package org.auburnlever.workload.planning
+
+import org.auburnlever.workload.state.JobRecord
+import org.auburnlever.workload.state.TaskId
+import org.auburnlever.workload.state.TaskRecord
 
 /**
  * The progress of a run that its worker reported.
--- a/core/src/main/kotlin/org/auburnlever/workload/StepPlacement.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/planning/StepPlacement.kt
@@ -1,4 +1,6 @@
-package org.auburnlever.workload
+package org.auburnlever.workload.planning
+
+import org.auburnlever.workload.state.WorkerRef
 
 /** Returns whether all tasks of [step] fit on [candidates] at the same time. */
 internal fun fits(step: WaitingStep, candidates: List<WorkerCapacity>): Boolean {
--- a/core/src/main/kotlin/org/auburnlever/workload/UrgentDemand.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/planning/UrgentDemand.kt
@@ -1,4 +1,7 @@
-package org.auburnlever.workload
+package org.auburnlever.workload.planning
+
+import org.auburnlever.workload.state.JobPhase
+import org.auburnlever.workload.state.JobRecord
 
 /**
  * Tracks how many accelerators urgent jobs have needed lately.
--- a/core/src/main/kotlin/org/auburnlever/workload/WaitingStep.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/planning/WaitingStep.kt
@@ -1,4 +1,8 @@
-package org.auburnlever.workload
+package org.auburnlever.workload.planning
+
+import org.auburnlever.workload.state.JobRecord
+import org.auburnlever.workload.state.StepId
+import org.auburnlever.workload.state.StepSpec
 
 /**
  * The [tasks] of one step, by index, that wait for workers.
--- a/core/src/main/kotlin/org/auburnlever/workload/WorkPlan.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/planning/WorkPlan.kt
@@ -1,4 +1,15 @@
-package org.auburnlever.workload
+package org.auburnlever.workload.planning
+
+import org.auburnlever.workload.state.Assignment
+import org.auburnlever.workload.state.JobPhase
+import org.auburnlever.workload.state.JobRecord
+import org.auburnlever.workload.state.StepId
+import org.auburnlever.workload.state.StepRecord
+import org.auburnlever.workload.state.TaskPhase
+import org.auburnlever.workload.state.TaskRun
+import org.auburnlever.workload.state.ready
+import org.auburnlever.workload.state.waitsForIdleWorker
+import org.auburnlever.workload.state.with
 
 /**
  * The result of planning.
--- a/core/src/main/kotlin/org/auburnlever/workload/WorkPlanner.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/planning/WorkPlanner.kt
@@ -1,4 +1,11 @@
-package org.auburnlever.workload
+package org.auburnlever.workload.planning
+
+import org.auburnlever.workload.state.Assignment
+import org.auburnlever.workload.state.Resources
+import org.auburnlever.workload.state.StepId
+import org.auburnlever.workload.state.TaskRun
+import org.auburnlever.workload.state.WorkerRef
+import org.auburnlever.workload.state.with
 
 /** Priority of the jobs that may preempt others. */
 internal const val URGENT = 0
--- a/core/src/main/kotlin/org/auburnlever/workload/LeaderState.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/runs/LeaderState.kt
@@ -1,9 +1,17 @@
-package org.auburnlever.workload
+package org.auburnlever.workload.runs
 
 import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.PersistentSet
 import kotlinx.collections.immutable.persistentMapOf
 import kotlinx.collections.immutable.persistentSetOf
+import org.auburnlever.workload.CoordinatorEffect
+import org.auburnlever.workload.DecisionLogEntry
+import org.auburnlever.workload.ProposalTag
+import org.auburnlever.workload.WorkloadLimits
+import org.auburnlever.workload.state.RunEnd
+import org.auburnlever.workload.state.TaskRun
+import org.auburnlever.workload.state.WorkerRef
+import org.auburnlever.workload.state.WorkloadCommand
 
 /**
  * The volatile state of the leader of one [term], and the effects of the decision in progress.
--- a/core/src/main/kotlin/org/auburnlever/workload/LostRuns.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/runs/LostRuns.kt
@@ -1,4 +1,10 @@
-package org.auburnlever.workload
+package org.auburnlever.workload.runs
+
+import org.auburnlever.workload.state.CrashTiming
+import org.auburnlever.workload.state.EndKind
+import org.auburnlever.workload.state.RunEnd
+import org.auburnlever.workload.state.TaskRun
+import org.auburnlever.workload.state.WorkerRef
 
 /** Records runs as lost whose worker's lease has expired or whose worker has ended. */
 internal fun LeaderState.recordLostRuns(nowMillis: Long) {
--- a/core/src/main/kotlin/org/auburnlever/workload/RunOrders.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/runs/RunOrders.kt
@@ -1,4 +1,10 @@
-package org.auburnlever.workload
+package org.auburnlever.workload.runs
+
+import org.auburnlever.workload.state.EndKind
+import org.auburnlever.workload.state.RunEnd
+import org.auburnlever.workload.state.TaskRun
+import org.auburnlever.workload.state.WorkerRef
+import org.auburnlever.workload.state.WorkloadState
 
 /**
  * Orders the start of [run], whose assignment has been recorded, unless the task has changed since.
--- a/core/src/main/kotlin/org/auburnlever/workload/RunReconciliation.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/runs/RunReconciliation.kt
@@ -1,4 +1,13 @@
-package org.auburnlever.workload
+package org.auburnlever.workload.runs
+
+import org.auburnlever.workload.ProposalTag
+import org.auburnlever.workload.state.JobPhase
+import org.auburnlever.workload.state.JobRecord
+import org.auburnlever.workload.state.StepId
+import org.auburnlever.workload.state.TaskPhase
+import org.auburnlever.workload.state.TaskRun
+import org.auburnlever.workload.state.WorkerRef
+import org.auburnlever.workload.state.WorkloadState
 
 /** Forgets runs that are no longer assigned. */
 internal fun LeaderState.forgetEndedRuns(state: WorkloadState) {
--- a/core/src/main/kotlin/org/auburnlever/workload/RunView.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/runs/RunView.kt
@@ -1,4 +1,7 @@
-package org.auburnlever.workload
+package org.auburnlever.workload.runs
+
+import org.auburnlever.workload.state.CrashTiming
+import org.auburnlever.workload.state.WorkerRef
 
 /**
  * The leader's volatile knowledge of an assigned run.
--- a/core/src/main/kotlin/org/auburnlever/workload/StalledRuns.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/runs/StalledRuns.kt
@@ -1,4 +1,8 @@
-package org.auburnlever.workload
+package org.auburnlever.workload.runs
+
+import org.auburnlever.workload.planning.URGENT
+import org.auburnlever.workload.state.TaskRun
+import org.auburnlever.workload.state.WorkloadState
 
 /**
  * Suspends workers on which a run makes no progress, and stops urgent runs there so that they start elsewhere.
--- a/core/src/main/kotlin/org/auburnlever/workload/WorkerLoss.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/runs/WorkerLoss.kt
@@ -1,4 +1,4 @@
-package org.auburnlever.workload
+package org.auburnlever.workload.runs
 
 /** Why no run of a worker can be active any more. */
 internal enum class WorkerLoss {
--- a/core/src/main/kotlin/org/auburnlever/workload/WorkerOrder.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/runs/WorkerOrder.kt
@@ -1,4 +1,8 @@
-package org.auburnlever.workload
+package org.auburnlever.workload.runs
+
+import org.auburnlever.workload.state.RunEnd
+import org.auburnlever.workload.state.TaskRun
+import org.auburnlever.workload.state.WorkerRef
 
 /** An order of the leader to a worker, which refuses it if it has seen a higher [fencingToken]. */
 sealed interface WorkerOrder {
--- a/core/src/main/kotlin/org/auburnlever/workload/WorkerPolling.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/runs/WorkerPolling.kt
@@ -1,4 +1,11 @@
-package org.auburnlever.workload
+package org.auburnlever.workload.runs
+
+import org.auburnlever.workload.WorkloadLimits
+import org.auburnlever.workload.state.EndKind
+import org.auburnlever.workload.state.RunEnd
+import org.auburnlever.workload.state.TaskPhase
+import org.auburnlever.workload.state.WorkerRef
+import org.auburnlever.workload.state.WorkloadState
 
 /** Sends the polls that are due; they extend leases, counted from [confirmedMillis]. */
 internal fun LeaderState.pollWorkers(confirmedMillis: Long, nowMillis: Long) {
--- a/core/src/main/kotlin/org/auburnlever/workload/WorkerReports.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/runs/WorkerReports.kt
@@ -1,4 +1,8 @@
-package org.auburnlever.workload
+package org.auburnlever.workload.runs
+
+import org.auburnlever.workload.state.EndKind
+import org.auburnlever.workload.state.RunEnd
+import org.auburnlever.workload.state.WorkerRef
 
 /** Stores a worker's report unless a newer one is known. */
 internal fun LeaderState.handleReport(report: WorkerReport, nowMillis: Long) {
--- a/core/src/main/kotlin/org/auburnlever/workload/WorkerView.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/runs/WorkerView.kt
@@ -1,8 +1,10 @@
-package org.auburnlever.workload
+package org.auburnlever.workload.runs
 
 import kotlinx.serialization.Serializable
 import org.auburnlever.model.DomainName
 import org.auburnlever.model.ServiceName
+import org.auburnlever.workload.state.Resources
+import org.auburnlever.workload.state.WorkerRef
 
 /**
  * A worker's report about itself.
--- a/core/src/main/kotlin/org/auburnlever/workload/AdmittedCall.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/state/AdmittedCall.kt
@@ -1,4 +1,4 @@
-package org.auburnlever.workload
+package org.auburnlever.workload.state
 
 /**
  * A client call that passed admission.
--- a/core/src/main/kotlin/org/auburnlever/workload/ApplyAssignments.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/state/ApplyAssignments.kt
@@ -1,4 +1,4 @@
-package org.auburnlever.workload
+package org.auburnlever.workload.state
 
 /** Records the assignments that the current state still allows and returns their runs; stale ones are skipped. */
 internal fun WorkloadState.assign(command: WorkloadCommand.Assign): AppliedWorkload {
--- a/core/src/main/kotlin/org/auburnlever/workload/ApplyEnds.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/state/ApplyEnds.kt
@@ -1,4 +1,4 @@
-package org.auburnlever.workload
+package org.auburnlever.workload.state
 
 /**
  * Records [ends] of the current run of each task and ignores ends of earlier runs.
--- a/core/src/main/kotlin/org/auburnlever/workload/ApplyWorkload.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/state/ApplyWorkload.kt
@@ -1,4 +1,4 @@
-package org.auburnlever.workload
+package org.auburnlever.workload.state
 
 import com.github.michaelbull.result.mapBoth
 import kotlinx.collections.immutable.toPersistentMap
--- a/core/src/main/kotlin/org/auburnlever/workload/CrashSuspicion.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/state/CrashSuspicion.kt
@@ -1,4 +1,4 @@
-package org.auburnlever.workload
+package org.auburnlever.workload.state
 
 /**
  * Whether the task gets a worker without runs of other jobs, since it may have crashed the workers of its earlier runs.
--- a/core/src/main/kotlin/org/auburnlever/workload/JobEdits.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/state/JobEdits.kt
@@ -1,4 +1,4 @@
-package org.auburnlever.workload
+package org.auburnlever.workload.state
 
 /** Returns the state with [job] stored under its id. */
 internal fun WorkloadState.with(job: JobRecord): WorkloadState = copy(jobs = jobs.put(job.id, job))
--- a/core/src/main/kotlin/org/auburnlever/workload/ReadWorkload.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/state/ReadWorkload.kt
@@ -1,6 +1,9 @@
-package org.auburnlever.workload
+package org.auburnlever.workload.state
 
 import com.github.michaelbull.result.mapBoth
+import org.auburnlever.workload.FleetAnswer
+import org.auburnlever.workload.FleetCall
+import org.auburnlever.workload.status
 
 /** Answers [call] from this state. */
 fun WorkloadState.answer(call: FleetCall.ReadJob): FleetAnswer = admit(call.address).mapBoth(
--- a/core/src/main/kotlin/org/auburnlever/workload/WorkloadState.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/state/WorkloadState.kt
@@ -1,4 +1,4 @@
-package org.auburnlever.workload
+package org.auburnlever.workload.state
 
 import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.persistentMapOf
--- a/core/src/test/kotlin/org/auburnlever/workload/CoordinatorTest.kt
+++ b/core/src/test/kotlin/org/auburnlever/workload/CoordinatorTest.kt
@@ -4,6 +4,21 @@
 import kotlin.test.assertEquals
 import kotlin.test.assertNotNull
 import kotlin.test.assertTrue
+import org.auburnlever.workload.runs.ActiveRun
+import org.auburnlever.workload.runs.NumberedEnd
+import org.auburnlever.workload.runs.OrderAnswer
+import org.auburnlever.workload.runs.RefusalReason
+import org.auburnlever.workload.runs.WorkerOrder
+import org.auburnlever.workload.state.EndKind
+import org.auburnlever.workload.state.JobPhase
+import org.auburnlever.workload.state.RunEnd
+import org.auburnlever.workload.state.TaskId
+import org.auburnlever.workload.state.TaskPhase
+import org.auburnlever.workload.state.TaskRun
+import org.auburnlever.workload.state.WorkloadCommand
+import org.auburnlever.workload.state.answer
+import org.auburnlever.workload.state.apply
+import org.auburnlever.workload.state.assign
 
 internal class CoordinatorTest : CoordinatorHarness() {
     @Test
--- a/core/src/test/kotlin/org/auburnlever/workload/CrashAttributionTest.kt
+++ b/core/src/test/kotlin/org/auburnlever/workload/CrashAttributionTest.kt
@@ -4,6 +4,26 @@
 import kotlin.test.assertEquals
 import kotlin.test.assertNotEquals
 import kotlin.test.assertTrue
+import org.auburnlever.workload.planning.FleetCapacity
+import org.auburnlever.workload.planning.PlanningInput
+import org.auburnlever.workload.planning.WorkPlan
+import org.auburnlever.workload.planning.planWork
+import org.auburnlever.workload.runs.ActiveRun
+import org.auburnlever.workload.runs.OrderAnswer
+import org.auburnlever.workload.runs.WorkerOrder
+import org.auburnlever.workload.runs.WorkerView
+import org.auburnlever.workload.state.CrashTiming
+import org.auburnlever.workload.state.EndKind
+import org.auburnlever.workload.state.JobPhase
+import org.auburnlever.workload.state.Resources
+import org.auburnlever.workload.state.RunEnd
+import org.auburnlever.workload.state.TaskId
+import org.auburnlever.workload.state.TaskPhase
+import org.auburnlever.workload.state.TaskRun
+import org.auburnlever.workload.state.WorkloadCommand
+import org.auburnlever.workload.state.answer
+import org.auburnlever.workload.state.apply
+import org.auburnlever.workload.state.assign
 
 private const val OTHER = "00000000000000a2"
 
--- a/core/src/test/kotlin/org/auburnlever/workload/CrashSuspicionTest.kt
+++ b/core/src/test/kotlin/org/auburnlever/workload/CrashSuspicionTest.kt
@@ -3,6 +3,21 @@
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertTrue
+import org.auburnlever.workload.planning.PlanningInput
+import org.auburnlever.workload.planning.planWork
+import org.auburnlever.workload.runs.WorkerView
+import org.auburnlever.workload.state.Assignment
+import org.auburnlever.workload.state.CrashTiming
+import org.auburnlever.workload.state.EndKind
+import org.auburnlever.workload.state.JobPhase
+import org.auburnlever.workload.state.JobRecord
+import org.auburnlever.workload.state.RunEnd
+import org.auburnlever.workload.state.TaskId
+import org.auburnlever.workload.state.TaskRun
+import org.auburnlever.workload.state.WorkloadCommand
+import org.auburnlever.workload.state.apply
+import org.auburnlever.workload.state.assign
+import org.auburnlever.workload.state.runsAlone
 
 private const val JOB = "00000000000000a1"
 private const val OTHER = "00000000000000a2"
--- a/core/src/test/kotlin/org/auburnlever/workload/Fixtures.kt
+++ b/core/src/test/kotlin/org/auburnlever/workload/Fixtures.kt
@@ -3,6 +3,28 @@
 import org.auburnlever.model.AccountName
 import org.auburnlever.model.DomainName
 import org.auburnlever.model.ServiceName
+import org.auburnlever.workload.runs.WorkerReport
+import org.auburnlever.workload.state.Account
+import org.auburnlever.workload.state.Assignment
+import org.auburnlever.workload.state.Catalog
+import org.auburnlever.workload.state.CatalogService
+import org.auburnlever.workload.state.EndKind
+import org.auburnlever.workload.state.JobAddress
+import org.auburnlever.workload.state.JobRecord
+import org.auburnlever.workload.state.JobSpec
+import org.auburnlever.workload.state.Queue
+import org.auburnlever.workload.state.QueuePolicy
+import org.auburnlever.workload.state.Resources
+import org.auburnlever.workload.state.RunEnd
+import org.auburnlever.workload.state.StepId
+import org.auburnlever.workload.state.StepSpec
+import org.auburnlever.workload.state.TaskId
+import org.auburnlever.workload.state.TaskRun
+import org.auburnlever.workload.state.WorkerRef
+import org.auburnlever.workload.state.WorkloadCommand
+import org.auburnlever.workload.state.WorkloadReply
+import org.auburnlever.workload.state.WorkloadState
+import org.auburnlever.workload.state.apply
 
 internal val SERVICE = ServiceName("tag")
 
--- a/core/src/test/kotlin/org/auburnlever/workload/SimulatedWorker.kt
+++ b/core/src/test/kotlin/org/auburnlever/workload/SimulatedWorker.kt
@@ -1,5 +1,19 @@
 package org.auburnlever.workload
 
+import org.auburnlever.workload.runs.ActiveRun
+import org.auburnlever.workload.runs.NumberedEnd
+import org.auburnlever.workload.runs.OrderAnswer
+import org.auburnlever.workload.runs.RefusalReason
+import org.auburnlever.workload.runs.WorkerOrder
+import org.auburnlever.workload.runs.WorkerReport
+import org.auburnlever.workload.runs.start
+import org.auburnlever.workload.runs.stop
+import org.auburnlever.workload.state.EndKind
+import org.auburnlever.workload.state.RunEnd
+import org.auburnlever.workload.state.TaskId
+import org.auburnlever.workload.state.TaskRun
+import org.auburnlever.workload.state.WorkerRef
+
 /** A run on a [SimulatedWorker] with [remainingMillis] of work left. */
 internal class SimulatedRun(val run: TaskRun, var remainingMillis: Long)
 
--- a/core/src/test/kotlin/org/auburnlever/workload/PreemptionTest.kt
+++ b/core/src/test/kotlin/org/auburnlever/workload/planning/PreemptionTest.kt
@@ -1,10 +1,26 @@
-package org.auburnlever.workload
+package org.auburnlever.workload.planning
 
-import org.auburnlever.model.AccountName
 import kotlin.random.Random
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertTrue
+import org.auburnlever.model.AccountName
+import org.auburnlever.workload.Workload
+import org.auburnlever.workload.address
+import org.auburnlever.workload.catalog
+import org.auburnlever.workload.ref
+import org.auburnlever.workload.report
+import org.auburnlever.workload.runs.WorkerReport
+import org.auburnlever.workload.runs.WorkerView
+import org.auburnlever.workload.state.Account
+import org.auburnlever.workload.state.EndKind
+import org.auburnlever.workload.state.JobSpec
+import org.auburnlever.workload.state.TaskId
+import org.auburnlever.workload.state.TaskRun
+import org.auburnlever.workload.state.WorkloadCommand
+import org.auburnlever.workload.state.apply
+import org.auburnlever.workload.state.assign
+import org.auburnlever.workload.step
 
 /** Replays bursts of urgent jobs onto a full fleet. */
 class PreemptionTest {
--- a/core/src/test/kotlin/org/auburnlever/workload/WorkPlanTest.kt
+++ b/core/src/test/kotlin/org/auburnlever/workload/planning/WorkPlanTest.kt
@@ -1,8 +1,24 @@
-package org.auburnlever.workload
+package org.auburnlever.workload.planning
 
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertTrue
+import org.auburnlever.workload.Workload
+import org.auburnlever.workload.address
+import org.auburnlever.workload.catalog
+import org.auburnlever.workload.queue
+import org.auburnlever.workload.report
+import org.auburnlever.workload.runs.WorkerReport
+import org.auburnlever.workload.runs.WorkerView
+import org.auburnlever.workload.state.Assignment
+import org.auburnlever.workload.state.EndKind
+import org.auburnlever.workload.state.StepId
+import org.auburnlever.workload.state.TaskId
+import org.auburnlever.workload.state.TaskRun
+import org.auburnlever.workload.state.WorkloadCommand
+import org.auburnlever.workload.state.apply
+import org.auburnlever.workload.state.record
+import org.auburnlever.workload.step
 
 class WorkPlanTest {
     private val workload = Workload().withCatalog()
--- a/core/src/test/kotlin/org/auburnlever/workload/WorkerBeliefTest.kt
+++ b/core/src/test/kotlin/org/auburnlever/workload/runs/WorkerBeliefTest.kt
@@ -1,8 +1,23 @@
-package org.auburnlever.workload
+package org.auburnlever.workload.runs
 
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertTrue
+import org.auburnlever.workload.CoordinatorEffect
+import org.auburnlever.workload.CoordinatorHarness
+import org.auburnlever.workload.ProposalTag
+import org.auburnlever.workload.address
+import org.auburnlever.workload.report
+import org.auburnlever.workload.state.Assignment
+import org.auburnlever.workload.state.EndKind
+import org.auburnlever.workload.state.RunEnd
+import org.auburnlever.workload.state.TaskId
+import org.auburnlever.workload.state.TaskPhase
+import org.auburnlever.workload.state.WorkloadCommand
+import org.auburnlever.workload.state.answer
+import org.auburnlever.workload.state.apply
+import org.auburnlever.workload.state.assign
+import org.auburnlever.workload.step
 
 /** Checks that what the leader believes of a worker neither outlives its evidence nor is given up too early. */
 internal class WorkerBeliefTest : CoordinatorHarness() {
--- a/core/src/test/kotlin/org/auburnlever/workload/ApplyWorkloadTest.kt
+++ b/core/src/test/kotlin/org/auburnlever/workload/state/ApplyWorkloadTest.kt
@@ -1,11 +1,18 @@
-package org.auburnlever.workload
+package org.auburnlever.workload.state
 
-import org.auburnlever.codec.Codec
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertFalse
 import kotlin.test.assertNull
 import kotlin.test.assertTrue
+import org.auburnlever.codec.Codec
+import org.auburnlever.workload.JobStatus
+import org.auburnlever.workload.Workload
+import org.auburnlever.workload.address
+import org.auburnlever.workload.catalog
+import org.auburnlever.workload.queue
+import org.auburnlever.workload.status
+import org.auburnlever.workload.step
 
 private const val JOB = "00000000000000a1"
 
--- a/node/src/main/kotlin/org/auburnlever/fleet/ControlHost.kt
+++ b/node/src/main/kotlin/org/auburnlever/fleet/ControlHost.kt
@@ -7,6 +7,9 @@
 import com.github.michaelbull.result.mapError
 import io.github.oshai.kotlinlogging.KotlinLogging
 import io.micrometer.core.instrument.MeterRegistry
+import java.io.IOException
+import java.nio.file.Path
+import java.util.concurrent.CompletableFuture
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.SupervisorJob
@@ -31,11 +34,8 @@
 import org.auburnlever.transport.PeerHandler
 import org.auburnlever.transport.PeerTransport
 import org.auburnlever.transport.SharedKey
-import org.auburnlever.workload.WorkloadReply
-import org.auburnlever.workload.WorkloadState
-import java.io.IOException
-import java.nio.file.Path
-import java.util.concurrent.CompletableFuture
+import org.auburnlever.workload.state.WorkloadReply
+import org.auburnlever.workload.state.WorkloadState
 
 private val logger = KotlinLogging.logger {}
 
--- a/node/src/main/kotlin/org/auburnlever/fleet/FleetCallHandler.kt
+++ b/node/src/main/kotlin/org/auburnlever/fleet/FleetCallHandler.kt
@@ -7,11 +7,11 @@
 import org.auburnlever.workload.DecisionLogEntry
 import org.auburnlever.workload.FleetAnswer
 import org.auburnlever.workload.FleetCall
-import org.auburnlever.workload.Inadmissible
-import org.auburnlever.workload.WorkloadCommand
-import org.auburnlever.workload.WorkloadReply
-import org.auburnlever.workload.WorkloadState
-import org.auburnlever.workload.answer
+import org.auburnlever.workload.state.Inadmissible
+import org.auburnlever.workload.state.WorkloadCommand
+import org.auburnlever.workload.state.WorkloadReply
+import org.auburnlever.workload.state.WorkloadState
+import org.auburnlever.workload.state.answer
 
 /** Handles calls on the leader; on other replicas, the answer names the leader. */
 internal class FleetCallHandler(
--- a/node/src/main/kotlin/org/auburnlever/fleet/FleetClient.kt
+++ b/node/src/main/kotlin/org/auburnlever/fleet/FleetClient.kt
@@ -14,7 +14,7 @@
 import org.auburnlever.transport.PeerTransport
 import org.auburnlever.workload.FleetAnswer
 import org.auburnlever.workload.FleetCall
-import org.auburnlever.workload.Inadmissible
+import org.auburnlever.workload.state.Inadmissible
 
 /** Calls the leader of the workload group from any host. */
 class FleetClient internal constructor(
--- a/node/src/main/kotlin/org/auburnlever/fleet/FleetMembership.kt
+++ b/node/src/main/kotlin/org/auburnlever/fleet/FleetMembership.kt
@@ -12,8 +12,8 @@
 import org.auburnlever.peer.PeerReply
 import org.auburnlever.peer.PeerRequest
 import org.auburnlever.transport.PeerTransport
-import org.auburnlever.workload.WorkloadReply
-import org.auburnlever.workload.WorkloadState
+import org.auburnlever.workload.state.WorkloadReply
+import org.auburnlever.workload.state.WorkloadState
 
 private val logger = KotlinLogging.logger {}
 
--- a/node/src/main/kotlin/org/auburnlever/fleet/LeadershipTracker.kt
+++ b/node/src/main/kotlin/org/auburnlever/fleet/LeadershipTracker.kt
@@ -8,8 +8,8 @@
 import org.auburnlever.workload.Coordinator
 import org.auburnlever.workload.CoordinatorEffect
 import org.auburnlever.workload.WorkloadLimits
-import org.auburnlever.workload.WorkloadReply
-import org.auburnlever.workload.WorkloadState
+import org.auburnlever.workload.state.WorkloadReply
+import org.auburnlever.workload.state.WorkloadState
 
 private val logger = KotlinLogging.logger {}
 
--- a/node/src/main/kotlin/org/auburnlever/fleet/WorkerClient.kt
+++ b/node/src/main/kotlin/org/auburnlever/fleet/WorkerClient.kt
@@ -1,7 +1,7 @@
 package org.auburnlever.fleet
 
-import org.auburnlever.workload.OrderAnswer
-import org.auburnlever.workload.WorkerOrder
+import org.auburnlever.workload.runs.OrderAnswer
+import org.auburnlever.workload.runs.WorkerOrder
 
 /** Sends orders to workers. */
 fun interface WorkerClient {
--- a/node/src/main/kotlin/org/auburnlever/fleet/WorkloadLeader.kt
+++ b/node/src/main/kotlin/org/auburnlever/fleet/WorkloadLeader.kt
@@ -12,13 +12,13 @@
 import org.auburnlever.workload.Coordinator
 import org.auburnlever.workload.CoordinatorEffect
 import org.auburnlever.workload.ProposalTag
-import org.auburnlever.workload.StampedWorkloadCommand
-import org.auburnlever.workload.WorkerOrder
-import org.auburnlever.workload.WorkerReport
-import org.auburnlever.workload.WorkloadCommand
 import org.auburnlever.workload.WorkloadLimits
-import org.auburnlever.workload.WorkloadReply
-import org.auburnlever.workload.WorkloadState
+import org.auburnlever.workload.runs.WorkerOrder
+import org.auburnlever.workload.runs.WorkerReport
+import org.auburnlever.workload.state.StampedWorkloadCommand
+import org.auburnlever.workload.state.WorkloadCommand
+import org.auburnlever.workload.state.WorkloadReply
+import org.auburnlever.workload.state.WorkloadState
 
 private val logger = KotlinLogging.logger {}
 
--- a/node/src/main/kotlin/org/auburnlever/fleet/WorkloadStateMachine.kt
+++ b/node/src/main/kotlin/org/auburnlever/fleet/WorkloadStateMachine.kt
@@ -4,10 +4,10 @@
 import org.auburnlever.codec.Codec
 import org.auburnlever.host.Applied
 import org.auburnlever.host.StateMachine
-import org.auburnlever.workload.StampedWorkloadCommand
-import org.auburnlever.workload.WorkloadReply
-import org.auburnlever.workload.WorkloadState
-import org.auburnlever.workload.apply
+import org.auburnlever.workload.state.StampedWorkloadCommand
+import org.auburnlever.workload.state.WorkloadReply
+import org.auburnlever.workload.state.WorkloadState
+import org.auburnlever.workload.state.apply
 
 /** Applies the log of the workload group, which holds the jobs and the catalog of the desired state. */
 internal object WorkloadStateMachine : StateMachine<WorkloadState, WorkloadReply> {
