Add switches for scheduling features and their interfaces

Cause: new decisions must take effect only where a deployment calls for them, and several are built side by side. Nothing reads them yet.

--- a/core/src/main/kotlin/org/auburnlever/workload/Coordinator.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/Coordinator.kt
@@ -45,7 +45,12 @@
  * returned effects in order. Its state is kept in memory and rebuilt after each election. Its orders carry the term as
  * a fencing token, so that workers refuse orders of earlier leaders.
  */
-class Coordinator(term: Long, electedMillis: Long, private val limits: WorkloadLimits) {
+class Coordinator(
+    term: Long,
+    electedMillis: Long,
+    private val limits: WorkloadLimits,
+    private val features: Set<SchedulingFeature> = emptySet(),
+) {
     private val leader = LeaderState(term, electedMillis, limits)
     private var demand = UrgentDemand()
     private var forecast = AdmissionForecast()
@@ -187,6 +192,7 @@
             guarantees = state.guarantees(),
             urgentReserve = demand.reserve(jobs),
             limits = limits,
+            features = features,
         )
         val plan = planWork(input, nowMillis)
         if (nowMillis >= forecastFromMillis) {
--- a/core/src/main/kotlin/org/auburnlever/workload/planning/PlanningInput.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/planning/PlanningInput.kt
@@ -1,8 +1,13 @@
 package org.auburnlever.workload.planning
 
 import org.auburnlever.model.AccountName
+import org.auburnlever.workload.SchedulingFeature
 import org.auburnlever.workload.WorkloadLimits
+import org.auburnlever.workload.interference.NeighbourEvidence
+import org.auburnlever.workload.learning.DeclaredDurations
+import org.auburnlever.workload.learning.DurationForecast
 import org.auburnlever.workload.runs.WorkerView
+import org.auburnlever.workload.sharing.AccountOrder
 import org.auburnlever.workload.state.JobRecord
 import org.auburnlever.workload.state.TaskRun
 
@@ -15,6 +20,10 @@
  * @property guarantees accelerators that the urgent jobs of each account are entitled to at all times
  * @property urgentReserve accelerators that other work leaves free while more than half of the fleet is in use, so that
  *   a stream of small urgent jobs does not have to preempt it
+ * @property features features that the deployment's settings switch on
+ * @property durations forecast of task durations and worker speeds
+ * @property accountOrder rank of each account within a priority
+ * @property neighbours tasks that slow each other down on one worker
  */
 data class PlanningInput(
     val jobs: Collection<JobRecord>,
@@ -24,4 +33,8 @@
     val guarantees: Map<AccountName, Int> = emptyMap(),
     val urgentReserve: Int = 0,
     val limits: WorkloadLimits = WorkloadLimits(),
+    val features: Set<SchedulingFeature> = emptySet(),
+    val durations: DurationForecast = DeclaredDurations,
+    val accountOrder: AccountOrder = AccountOrder.EQUAL,
+    val neighbours: NeighbourEvidence = NeighbourEvidence.NONE,
 )
--- a/node/src/main/kotlin/org/auburnlever/fleet/ControlHost.kt
+++ b/node/src/main/kotlin/org/auburnlever/fleet/ControlHost.kt
@@ -102,7 +102,7 @@
                     clock,
                 )
                 val decisions = DecisionLog(registry)
-                val leader = WorkloadLeader(runner, workers, settings.limits, scope, clock, decisions)
+                val leader = WorkloadLeader(runner, workers, settings, scope, clock, decisions)
                 components = Components(runner, leader, FleetCallHandler(runner, leader, decisions, clock))
                 runner.start()
                 runBlocking { transport.start() }
--- a/node/src/main/kotlin/org/auburnlever/fleet/FleetSettings.kt
+++ b/node/src/main/kotlin/org/auburnlever/fleet/FleetSettings.kt
@@ -1,6 +1,7 @@
 package org.auburnlever.fleet
 
 import org.auburnlever.model.HostName
+import org.auburnlever.workload.SchedulingFeature
 import org.auburnlever.workload.WorkloadLimits
 import java.nio.file.Path
 
@@ -13,6 +14,7 @@
  * @property dataFolder folder of the log of a control host; null on entry hosts
  * @property firstStart whether the whole deployment is started for the first time, with empty disks
  * @property toleratedHostLosses number of control hosts that may be lost at the same time
+ * @property features scheduling features that take effect in this deployment
  */
 data class FleetSettings(
     val self: HostName,
@@ -23,4 +25,5 @@
     val toleratedHostLosses: Int,
     val sharedKey: ByteArray,
     val limits: WorkloadLimits,
+    val features: Set<SchedulingFeature> = emptySet(),
 )
--- a/node/src/main/kotlin/org/auburnlever/fleet/LeadershipTracker.kt
+++ b/node/src/main/kotlin/org/auburnlever/fleet/LeadershipTracker.kt
@@ -7,7 +7,6 @@
 import org.auburnlever.host.Submission
 import org.auburnlever.workload.Coordinator
 import org.auburnlever.workload.CoordinatorEffect
-import org.auburnlever.workload.WorkloadLimits
 import org.auburnlever.workload.state.WorkloadReply
 import org.auburnlever.workload.state.WorkloadState
 
@@ -29,9 +28,9 @@
 /** Tracks whether this host leads the workload group, and confirms it with a majority at a regular interval. */
 internal class LeadershipTracker(
     private val runner: GroupRunner<WorkloadState, WorkloadReply>,
-    private val limits: WorkloadLimits,
     private val clock: HostClock,
     private val decisions: DecisionLog,
+    private val newCoordinator: (term: Long, electedMillis: Long) -> Coordinator,
 ) {
     /** The current term as leader; null while this host does not lead. */
     var current: LeadershipTerm? = null
@@ -49,7 +48,7 @@
         current = next
         if (next != null && next.coordinator == null && view.appliedIndex >= next.readyIndex) {
             logger.info { "leading in term ${view.term} since index ${view.appliedIndex}" }
-            next.coordinator = Coordinator(view.term, nowMillis, limits)
+            next.coordinator = newCoordinator(view.term, nowMillis)
         }
         ready = next?.coordinator != null
         return next
@@ -88,7 +87,7 @@
         decision()
     } catch (e: RuntimeException) {
         decisions.recordFailure(e)
-        leadership.coordinator = Coordinator(leadership.term, clock.nowMillis(), limits)
+        leadership.coordinator = newCoordinator(leadership.term, clock.nowMillis())
         emptyList()
     }
 
--- a/node/src/main/kotlin/org/auburnlever/fleet/WorkloadLeader.kt
+++ b/node/src/main/kotlin/org/auburnlever/fleet/WorkloadLeader.kt
@@ -12,7 +12,6 @@
 import org.auburnlever.workload.Coordinator
 import org.auburnlever.workload.CoordinatorEffect
 import org.auburnlever.workload.ProposalTag
-import org.auburnlever.workload.WorkloadLimits
 import org.auburnlever.workload.runs.WorkerOrder
 import org.auburnlever.workload.runs.WorkerReport
 import org.auburnlever.workload.state.StampedWorkloadCommand
@@ -31,12 +30,14 @@
 internal class WorkloadLeader(
     private val runner: GroupRunner<WorkloadState, WorkloadReply>,
     private val workers: WorkerClient,
-    limits: WorkloadLimits,
+    settings: FleetSettings,
     private val scope: CoroutineScope,
     private val clock: HostClock,
     private val decisions: DecisionLog,
 ) {
-    private val leadershipTracker = LeadershipTracker(runner, limits, clock, decisions)
+    private val leadershipTracker = LeadershipTracker(runner, clock, decisions) { term, electedMillis ->
+        Coordinator(term, electedMillis, settings.limits, settings.features)
+    }
 
     init {
         runner.afterBatch = { afterBatch(it) }
--- a/node/src/test/kotlin/org/auburnlever/fleet/LeadershipTrackerTest.kt
+++ b/node/src/test/kotlin/org/auburnlever/fleet/LeadershipTrackerTest.kt
@@ -44,7 +44,9 @@
         val clock = HostClock()
         val runner =
             GroupRunner(WORKLOAD_GROUP, opened, membership, WorkloadStateMachine, SilentGroupContext, clock)
-        return LeadershipTracker(runner, WorkloadLimits(), clock, DecisionLog(registry))
+        return LeadershipTracker(runner, clock, DecisionLog(registry)) { term, electedMillis ->
+            Coordinator(term, electedMillis, WorkloadLimits())
+        }
     }
 
     /** Guards against one unexpected error that stops the leader, and then the next leader, and so on. */
