Order the imports of moved files as the formatter wants

Cause: the split of core/workload left java and kotlin imports among the others; one doc comment was too long. Change: order of imports, one shorter line.

--- a/core/src/main/kotlin/org/auburnlever/workload/learning/DurationForecast.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/learning/DurationForecast.kt
@@ -4,7 +4,7 @@
 
 /** Forecasts how long tasks take and how fast workers are. */
 interface DurationForecast {
-    /** Returns the expected duration in milliseconds of one task of step [step] of [job] on a worker of typical speed. */
+    /** Returns the expected duration of one task of step [step] of [job] on a worker of typical speed. */
     fun taskMillis(job: JobRecord, step: Int): Long
 
     /** Returns the speed of the worker [workerId] in percent of the typical one; 100 if it is not known. */
--- a/core/src/test/kotlin/org/auburnlever/workload/CoordinatorHarness.kt
+++ b/core/src/test/kotlin/org/auburnlever/workload/CoordinatorHarness.kt
@@ -1,12 +1,12 @@
 package org.auburnlever.workload
 
-import kotlin.test.assertNotNull
 import org.auburnlever.workload.runs.ActiveRun
 import org.auburnlever.workload.runs.NumberedEnd
 import org.auburnlever.workload.runs.OrderAnswer
 import org.auburnlever.workload.runs.WorkerOrder
 import org.auburnlever.workload.state.StepSpec
 import org.auburnlever.workload.state.apply
+import kotlin.test.assertNotNull
 
 /** Drives a [Coordinator] of one replica in virtual time and collects its orders and log entries. */
 internal abstract class CoordinatorHarness {
--- a/core/src/test/kotlin/org/auburnlever/workload/CoordinatorScheduleTest.kt
+++ b/core/src/test/kotlin/org/auburnlever/workload/CoordinatorScheduleTest.kt
@@ -1,10 +1,5 @@
 package org.auburnlever.workload
 
-import java.util.PriorityQueue
-import kotlin.random.Random
-import kotlin.test.Test
-import kotlin.test.assertEquals
-import kotlin.test.assertTrue
 import org.auburnlever.workload.planning.START_MILLIS
 import org.auburnlever.workload.runs.OrderAnswer
 import org.auburnlever.workload.runs.WorkerOrder
@@ -17,6 +12,11 @@
 import org.auburnlever.workload.state.apply
 import org.auburnlever.workload.state.record
 import org.junit.jupiter.api.Tag
+import java.util.PriorityQueue
+import kotlin.random.Random
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
 
 /**
  * Runs random fault schedules in virtual time: orders and answers are lost, late or reordered, workers are partitioned,
--- a/core/src/test/kotlin/org/auburnlever/workload/CoordinatorTest.kt
+++ b/core/src/test/kotlin/org/auburnlever/workload/CoordinatorTest.kt
@@ -1,9 +1,5 @@
 package org.auburnlever.workload
 
-import kotlin.test.Test
-import kotlin.test.assertEquals
-import kotlin.test.assertNotNull
-import kotlin.test.assertTrue
 import org.auburnlever.workload.runs.ActiveRun
 import org.auburnlever.workload.runs.NumberedEnd
 import org.auburnlever.workload.runs.OrderAnswer
@@ -19,6 +15,10 @@
 import org.auburnlever.workload.state.answer
 import org.auburnlever.workload.state.apply
 import org.auburnlever.workload.state.assign
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertNotNull
+import kotlin.test.assertTrue
 
 internal class CoordinatorTest : CoordinatorHarness() {
     @Test
--- a/core/src/test/kotlin/org/auburnlever/workload/CrashAttributionTest.kt
+++ b/core/src/test/kotlin/org/auburnlever/workload/CrashAttributionTest.kt
@@ -1,9 +1,5 @@
 package org.auburnlever.workload
 
-import kotlin.test.Test
-import kotlin.test.assertEquals
-import kotlin.test.assertNotEquals
-import kotlin.test.assertTrue
 import org.auburnlever.workload.planning.FleetCapacity
 import org.auburnlever.workload.planning.PlanningInput
 import org.auburnlever.workload.planning.WorkPlan
@@ -24,6 +20,10 @@
 import org.auburnlever.workload.state.answer
 import org.auburnlever.workload.state.apply
 import org.auburnlever.workload.state.assign
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertNotEquals
+import kotlin.test.assertTrue
 
 private const val OTHER = "00000000000000a2"
 
--- a/core/src/test/kotlin/org/auburnlever/workload/CrashSuspicionTest.kt
+++ b/core/src/test/kotlin/org/auburnlever/workload/CrashSuspicionTest.kt
@@ -1,8 +1,5 @@
 package org.auburnlever.workload
 
-import kotlin.test.Test
-import kotlin.test.assertEquals
-import kotlin.test.assertTrue
 import org.auburnlever.workload.planning.PlanningInput
 import org.auburnlever.workload.planning.planWork
 import org.auburnlever.workload.runs.WorkerView
@@ -18,6 +15,9 @@
 import org.auburnlever.workload.state.apply
 import org.auburnlever.workload.state.assign
 import org.auburnlever.workload.state.runsAlone
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
 
 private const val JOB = "00000000000000a1"
 private const val OTHER = "00000000000000a2"
--- a/core/src/test/kotlin/org/auburnlever/workload/CrashingFleetsTest.kt
+++ b/core/src/test/kotlin/org/auburnlever/workload/CrashingFleetsTest.kt
@@ -1,12 +1,12 @@
 package org.auburnlever.workload
 
-import kotlin.test.Test
-import kotlin.test.assertEquals
 import org.auburnlever.workload.runs.WorkerReport
 import org.auburnlever.workload.state.JobPhase
 import org.auburnlever.workload.state.StepSpec
 import org.auburnlever.workload.state.answer
 import org.junit.jupiter.api.Tag
+import kotlin.test.Test
+import kotlin.test.assertEquals
 
 /** Plays fleets with several jobs that crash their workers, beside a stream of other jobs, gangs and new leaders. */
 internal class CrashingFleetsTest {
--- a/core/src/test/kotlin/org/auburnlever/workload/CrashingTaskTest.kt
+++ b/core/src/test/kotlin/org/auburnlever/workload/CrashingTaskTest.kt
@@ -1,12 +1,12 @@
 package org.auburnlever.workload
 
-import kotlin.test.Test
-import kotlin.test.assertEquals
-import kotlin.test.assertTrue
 import org.auburnlever.workload.state.JobPhase
 import org.auburnlever.workload.state.StepSpec
 import org.auburnlever.workload.state.TaskId
 import org.auburnlever.workload.state.answer
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
 
 /** Checks that a task that crashes each worker that starts it is given up, and that no other task is. */
 internal class CrashingTaskTest : CoordinatorHarness() {
--- a/core/src/test/kotlin/org/auburnlever/workload/planning/PlanTimeTest.kt
+++ b/core/src/test/kotlin/org/auburnlever/workload/planning/PlanTimeTest.kt
@@ -1,9 +1,5 @@
 package org.auburnlever.workload.planning
 
-import java.lang.management.ManagementFactory
-import java.util.concurrent.TimeUnit
-import kotlin.test.Test
-import kotlin.test.assertTrue
 import org.auburnlever.workload.Workload
 import org.auburnlever.workload.ref
 import org.auburnlever.workload.report
@@ -11,6 +7,10 @@
 import org.auburnlever.workload.state.assign
 import org.auburnlever.workload.step
 import org.junit.jupiter.api.Tag
+import java.lang.management.ManagementFactory
+import java.util.concurrent.TimeUnit
+import kotlin.test.Test
+import kotlin.test.assertTrue
 
 /**
  * Measures the processor time of a plan while all workers are in use and no preempted work has stopped yet.
--- a/core/src/test/kotlin/org/auburnlever/workload/planning/PreemptionTest.kt
+++ b/core/src/test/kotlin/org/auburnlever/workload/planning/PreemptionTest.kt
@@ -1,9 +1,5 @@
 package org.auburnlever.workload.planning
 
-import kotlin.random.Random
-import kotlin.test.Test
-import kotlin.test.assertEquals
-import kotlin.test.assertTrue
 import org.auburnlever.model.AccountName
 import org.auburnlever.workload.Workload
 import org.auburnlever.workload.address
@@ -21,6 +17,10 @@
 import org.auburnlever.workload.state.apply
 import org.auburnlever.workload.state.assign
 import org.auburnlever.workload.step
+import kotlin.random.Random
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
 
 /** Replays bursts of urgent jobs onto a full fleet. */
 class PreemptionTest {
--- a/core/src/test/kotlin/org/auburnlever/workload/planning/WorkPlanTest.kt
+++ b/core/src/test/kotlin/org/auburnlever/workload/planning/WorkPlanTest.kt
@@ -1,8 +1,5 @@
 package org.auburnlever.workload.planning
 
-import kotlin.test.Test
-import kotlin.test.assertEquals
-import kotlin.test.assertTrue
 import org.auburnlever.workload.Workload
 import org.auburnlever.workload.address
 import org.auburnlever.workload.catalog
@@ -19,6 +16,9 @@
 import org.auburnlever.workload.state.apply
 import org.auburnlever.workload.state.record
 import org.auburnlever.workload.step
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
 
 class WorkPlanTest {
     private val workload = Workload().withCatalog()
--- a/core/src/test/kotlin/org/auburnlever/workload/runs/CrashEvidenceTest.kt
+++ b/core/src/test/kotlin/org/auburnlever/workload/runs/CrashEvidenceTest.kt
@@ -1,7 +1,5 @@
 package org.auburnlever.workload.runs
 
-import kotlin.test.Test
-import kotlin.test.assertEquals
 import org.auburnlever.workload.CoordinatorHarness
 import org.auburnlever.workload.report
 import org.auburnlever.workload.state.TaskId
@@ -9,6 +7,8 @@
 import org.auburnlever.workload.state.TaskRun
 import org.auburnlever.workload.state.answer
 import org.auburnlever.workload.step
+import kotlin.test.Test
+import kotlin.test.assertEquals
 
 /** Checks which losses of a worker count as a crash under a run. */
 internal class CrashEvidenceTest : CoordinatorHarness() {
--- a/core/src/test/kotlin/org/auburnlever/workload/runs/LostWorkerTest.kt
+++ b/core/src/test/kotlin/org/auburnlever/workload/runs/LostWorkerTest.kt
@@ -1,7 +1,5 @@
 package org.auburnlever.workload.runs
 
-import kotlin.test.Test
-import kotlin.test.assertEquals
 import org.auburnlever.workload.CoordinatorHarness
 import org.auburnlever.workload.report
 import org.auburnlever.workload.state.Assignment
@@ -12,6 +10,8 @@
 import org.auburnlever.workload.state.apply
 import org.auburnlever.workload.state.assign
 import org.auburnlever.workload.step
+import kotlin.test.Test
+import kotlin.test.assertEquals
 
 /** Checks that tasks leave a worker that has ended, whichever way the leader learns of it. */
 internal class LostWorkerTest : CoordinatorHarness() {
--- a/core/src/test/kotlin/org/auburnlever/workload/runs/WorkerBeliefTest.kt
+++ b/core/src/test/kotlin/org/auburnlever/workload/runs/WorkerBeliefTest.kt
@@ -1,8 +1,5 @@
 package org.auburnlever.workload.runs
 
-import kotlin.test.Test
-import kotlin.test.assertEquals
-import kotlin.test.assertTrue
 import org.auburnlever.workload.CoordinatorEffect
 import org.auburnlever.workload.CoordinatorHarness
 import org.auburnlever.workload.ProposalTag
@@ -18,6 +15,9 @@
 import org.auburnlever.workload.state.apply
 import org.auburnlever.workload.state.assign
 import org.auburnlever.workload.step
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
 
 /** Checks that what the leader believes of a worker neither outlives its evidence nor is given up too early. */
 internal class WorkerBeliefTest : CoordinatorHarness() {
--- a/core/src/test/kotlin/org/auburnlever/workload/state/ApplyWorkloadTest.kt
+++ b/core/src/test/kotlin/org/auburnlever/workload/state/ApplyWorkloadTest.kt
@@ -1,10 +1,5 @@
 package org.auburnlever.workload.state
 
-import kotlin.test.Test
-import kotlin.test.assertEquals
-import kotlin.test.assertFalse
-import kotlin.test.assertNull
-import kotlin.test.assertTrue
 import org.auburnlever.codec.Codec
 import org.auburnlever.workload.JobStatus
 import org.auburnlever.workload.Workload
@@ -13,6 +8,11 @@
 import org.auburnlever.workload.queue
 import org.auburnlever.workload.status
 import org.auburnlever.workload.step
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertFalse
+import kotlin.test.assertNull
+import kotlin.test.assertTrue
 
 private const val JOB = "00000000000000a1"
 
--- a/node/src/main/kotlin/org/auburnlever/fleet/ControlHost.kt
+++ b/node/src/main/kotlin/org/auburnlever/fleet/ControlHost.kt
@@ -7,9 +7,6 @@
 import com.github.michaelbull.result.mapError
 import io.github.oshai.kotlinlogging.KotlinLogging
 import io.micrometer.core.instrument.MeterRegistry
-import java.io.IOException
-import java.nio.file.Path
-import java.util.concurrent.CompletableFuture
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.SupervisorJob
@@ -36,6 +33,9 @@
 import org.auburnlever.transport.SharedKey
 import org.auburnlever.workload.state.WorkloadReply
 import org.auburnlever.workload.state.WorkloadState
+import java.io.IOException
+import java.nio.file.Path
+import java.util.concurrent.CompletableFuture
 
 private val logger = KotlinLogging.logger {}
 
--- a/node/src/main/kotlin/org/auburnlever/fleet/DecisionLog.kt
+++ b/node/src/main/kotlin/org/auburnlever/fleet/DecisionLog.kt
@@ -2,9 +2,9 @@
 
 import io.github.oshai.kotlinlogging.KotlinLogging
 import io.micrometer.core.instrument.MeterRegistry
-import java.util.concurrent.TimeUnit
 import org.auburnlever.workload.DecisionLogEntry
 import org.auburnlever.workload.runs.WorkerOrder
+import java.util.concurrent.TimeUnit
 
 private val logger = KotlinLogging.logger {}
 
