--- a/auburnctl/src/main/kotlin/org/auburnlever/ctl/Main.kt
+++ b/auburnctl/src/main/kotlin/org/auburnlever/ctl/Main.kt
@@ -50,6 +50,13 @@
     ExplainCommand(selection),
     group("job", "Jobs", JobSubmitCommand(selection), JobShowCommand(selection), JobCancelCommand(selection)),
     RequestCommand(selection),
+    group(
+        "evacuation",
+        "Evacuation of failure domains of a fleet",
+        EvacuationListCommand(selection),
+        EvacuationOrderCommand(selection),
+        EvacuationEndCommand(selection),
+    ),
 )
 
 @OptIn(ExperimentalCli::class)
--- a/core/src/main/kotlin/org/auburnlever/workload/Coordinator.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/Coordinator.kt
@@ -3,8 +3,14 @@
 import com.github.michaelbull.result.get
 import org.auburnlever.workload.admission.AdmissionForecast
 import org.auburnlever.workload.admission.backlogAfter
+import org.auburnlever.workload.evacuation.evacuatedWorkers
+import org.auburnlever.workload.evacuation.forbidsStartsOn
+import org.auburnlever.workload.evacuation.logEvacuations
+import org.auburnlever.workload.evacuation.moveEvacuatedRuns
+import org.auburnlever.workload.evacuation.progress
+import org.auburnlever.workload.evacuation.startingWorkers
+import org.auburnlever.workload.evacuation.withholdEvacuated
 import org.auburnlever.workload.planning.PlanningInput
-import org.auburnlever.workload.planning.RunProgress
 import org.auburnlever.workload.planning.UrgentDemand
 import org.auburnlever.workload.planning.guaranteedJobs
 import org.auburnlever.workload.planning.planWork
@@ -106,7 +112,7 @@
                 assigning = false
                 val runs = (reply as? WorkloadReply.Assigned)?.runs.orEmpty()
                 if (isConfirmed(confirmedMillis, nowMillis)) {
-                    runs.forEach { start(state, it, confirmedMillis, nowMillis) }
+                    withholdEvacuated(state, runs).forEach { start(state, it, confirmedMillis, nowMillis) }
                 } else {
                     logDecision("starts_withheld", "${runs.size}", "confirmedAgoMillis" to nowMillis - confirmedMillis)
                 }
@@ -168,7 +174,8 @@
         if (nowMillis >= nextSummaryMillis) {
             nextSummaryMillis = nowMillis + SUMMARY_INTERVAL_MILLIS
             logUnresolvedRuns(unresolvedSinceMillis = nowMillis - SUMMARY_INTERVAL_MILLIS, nowMillis)
-            logFleetSummary(state, demand.reserve(state.jobs.values), nowMillis)
+            logEvacuations(state, nowMillis)
+            logFleetSummary(state, demand.reserve(state.jobs.values, evacuatedWorkers(state)), nowMillis)
         }
         if (nowMillis >= nextForgetMillis) {
             nextForgetMillis = nowMillis + FORGET_INTERVAL_MILLIS
@@ -181,27 +188,30 @@
         lastPlanMillis = nowMillis
         nextPlanMillis = nowMillis + PLAN_INTERVAL_MILLIS
         val jobs = state.jobs.values
-        val usable = workers.values.filter { it.usable(nowMillis, limits.reportLimitMillis) }
+        val progress = progress()
+        val usable = startingWorkers(state, progress, nowMillis)
         val stopping = runs.filterValues { it.stopSentMillis != null }.keys
         demand = demand.observed(jobs, nowMillis)
         val input = PlanningInput(
             jobs = jobs,
             workers = usable,
             stopping = stopping,
-            progress = runs.mapValues { (_, view) -> RunProgress(view.percent, view.progressMillis) },
+            progress = progress,
             guarantees = state.guarantees(),
-            urgentReserve = demand.reserve(jobs),
+            urgentReserve = demand.reserve(jobs, evacuatedWorkers(state)),
             limits = limits,
             features = features,
         )
         val plan = planWork(input, nowMillis)
         if (nowMillis >= forecastFromMillis) {
-            forecast = forecast.updated(backlogAfter(plan, input, workers.values, nowMillis), nowMillis)
+            val known = workers.values.filterNot { state.forbidsStartsOn(it) }
+            forecast = forecast.updated(backlogAfter(plan, input, known, nowMillis), nowMillis)
         }
         plan.preemptedFor.forEach { (run, step) ->
             logDecision("task_displaced", run.toString(), "for" to step)
             runs[run]?.let { stop(run, it, nowMillis) }
         }
+        moveEvacuatedRuns(state, input, plan, nowMillis)
         if (plan.assignments.isNotEmpty()) {
             assigning = true
             propose(WorkloadCommand.Assign(plan.assignments), ProposalTag.Assign)
--- a/core/src/main/kotlin/org/auburnlever/workload/FleetCall.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/FleetCall.kt
@@ -2,6 +2,7 @@
 
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
+import org.auburnlever.model.DomainName
 import org.auburnlever.model.HostName
 import org.auburnlever.workload.runs.WorkerReport
 import org.auburnlever.workload.state.Catalog
@@ -48,6 +49,21 @@
     @Serializable
     @SerialName("worker_left")
     data class WorkerLeft(val workerId: String) : FleetCall
+
+    /** Start no more tasks in [failureDomain]; answered once that is durable. */
+    @Serializable
+    @SerialName("evacuate")
+    data class Evacuate(val failureDomain: DomainName) : FleetCall
+
+    /** Withdraw the evacuation of [failureDomain]. */
+    @Serializable
+    @SerialName("end_evacuation")
+    data class EndEvacuation(val failureDomain: DomainName) : FleetCall
+
+    /** Return the evacuations in force. */
+    @Serializable
+    @SerialName("read_evacuations")
+    data object ReadEvacuations : FleetCall
 }
 
 /** The leader's answer to a [FleetCall]. */
@@ -73,6 +89,11 @@
     @SerialName("document")
     data class Document(val document: String?) : FleetAnswer
 
+    /** The failure domains that are evacuated, each with the time of the order. */
+    @Serializable
+    @SerialName("evacuations")
+    data class Evacuations(val startMillis: Map<DomainName, Long>) : FleetAnswer
+
     /** The call was refused and had no effect; it may succeed after [retryAfterMillis], if that is given. */
     @Serializable
     @SerialName("not_admitted")
--- a/core/src/main/kotlin/org/auburnlever/workload/FleetSummary.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/FleetSummary.kt
@@ -1,5 +1,7 @@
 package org.auburnlever.workload
 
+import org.auburnlever.workload.evacuation.progress
+import org.auburnlever.workload.evacuation.startingWorkers
 import org.auburnlever.workload.planning.FleetCapacity
 import org.auburnlever.workload.runs.LeaderState
 import org.auburnlever.workload.state.JobPhase
@@ -12,7 +14,7 @@
  */
 internal fun LeaderState.logFleetSummary(state: WorkloadState, urgentReserve: Int, nowMillis: Long) {
     val jobs = state.jobs.values
-    val usable = workers.values.filter { it.usable(nowMillis, limits.reportLimitMillis) }
+    val usable = startingWorkers(state, progress(), nowMillis)
     val fleet = FleetCapacity.of(usable, jobs, nowMillis)
     val waiting = jobs.filter { it.phase == JobPhase.ACTIVE && !it.started }.sortedBy { it.acceptedMillis }
     if (jobs.none { it.phase == JobPhase.ACTIVE }) return
--- a/core/src/main/kotlin/org/auburnlever/workload/WorkloadLimits.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/WorkloadLimits.kt
@@ -11,6 +11,8 @@
  * @property longestLeaseMillis longest lease that a worker grants, whatever the order says
  * @property reclaimMillis time from the acceptance of an urgent job within its account's guarantee until all tasks of
  *   its first step must have begun
+ * @property evacuationMillis time from the acknowledgement of an evacuation after which no task may start in the
+ *   failure domain; null if the deployment sets none
  */
 data class WorkloadLimits(
     val leaseMillis: Long = LEASE_MILLIS,
@@ -19,6 +21,7 @@
     val stopMillis: Long = STOP_MILLIS,
     val longestLeaseMillis: Long = LONGEST_LEASE_MILLIS,
     val reclaimMillis: Long = RECLAIM_MILLIS,
+    val evacuationMillis: Long? = null,
 ) {
     /** Age of the last contact above which a worker gets no new work; two reports in a row may be lost. */
     val reportLimitMillis: Long get() = reportMillis * 2 + reportMillis / 2
--- a/core/src/main/kotlin/org/auburnlever/workload/planning/UrgentDemand.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/planning/UrgentDemand.kt
@@ -21,12 +21,20 @@
         return UrgentDemand(kept + Sample(nowMillis, jobs.sumOf { it.urgentAccelerators(nowMillis) }))
     }
 
-    /** Returns the number of accelerators to keep free for urgent jobs in addition to those that they use already. */
-    fun reserve(jobs: Collection<JobRecord>): Int {
+    /**
+     * Returns the number of accelerators to keep free for urgent jobs in addition to those that they use already.
+     *
+     * What they use on the workers in [evacuated] does not count, since it is needed elsewhere next.
+     */
+    fun reserve(jobs: Collection<JobRecord>, evacuated: Set<String> = emptySet()): Int {
         if (samples.isEmpty()) return 0
         val expected = samples.sumOf { it.accelerators } * HEADROOM_PERCENT / (samples.size * PERCENT)
         val used = jobs.filter { it.policy.priority == URGENT }
-            .sumOf { job -> job.assigned().sumOf { (id, _) -> job.needOf(id).accelerators } }
+            .sumOf { job ->
+                job.assigned().sumOf { (id, task) ->
+                    if (task.worker?.id in evacuated) 0 else job.needOf(id).accelerators
+                }
+            }
         return maxOf(0, expected - used)
     }
 
--- a/core/src/main/kotlin/org/auburnlever/workload/state/ApplyWorkload.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/state/ApplyWorkload.kt
@@ -2,6 +2,8 @@
 
 import com.github.michaelbull.result.mapBoth
 import kotlinx.collections.immutable.toPersistentMap
+import org.auburnlever.workload.evacuation.endEvacuation
+import org.auburnlever.workload.evacuation.evacuate
 
 /**
  * Applies [command] to this state; deterministic, so every replica computes the same result.
@@ -17,6 +19,8 @@
         is WorkloadCommand.Assign -> current.assign(command)
         is WorkloadCommand.RecordEnds -> current.recorded(command.ends)
         is WorkloadCommand.ForgetJobs -> AppliedWorkload(current.forget(command), WorkloadReply.Done)
+        is WorkloadCommand.Evacuate -> current.evacuate(command)
+        is WorkloadCommand.EndEvacuation -> current.endEvacuation(command)
     }
 }
 
--- a/core/src/main/kotlin/org/auburnlever/workload/state/WorkloadCommand.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/state/WorkloadCommand.kt
@@ -2,6 +2,7 @@
 
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
+import org.auburnlever.model.DomainName
 
 /** A replicated change of the [WorkloadState]. */
 @Serializable
@@ -40,6 +41,16 @@
     @Serializable
     @SerialName("forget_jobs")
     data class ForgetJobs(val endedBeforeMillis: Long) : WorkloadCommand
+
+    /** Starts no more tasks in [failureDomain] until [EndEvacuation]. */
+    @Serializable
+    @SerialName("evacuate")
+    data class Evacuate(val failureDomain: DomainName) : WorkloadCommand
+
+    /** Withdraws the evacuation of [failureDomain]. */
+    @Serializable
+    @SerialName("end_evacuation")
+    data class EndEvacuation(val failureDomain: DomainName) : WorkloadCommand
 }
 
 /** A command with the leader's time at its proposal. */
--- a/core/src/test/kotlin/org/auburnlever/workload/Fixtures.kt
+++ b/core/src/test/kotlin/org/auburnlever/workload/Fixtures.kt
@@ -93,6 +93,11 @@
         return applied.reply
     }
 
+    /** Continues with [restored], as a replica does after a restart. */
+    fun restore(restored: WorkloadState) {
+        state = restored
+    }
+
     fun withCatalog(catalog: Catalog = catalog()) = apply {
         apply(WorkloadCommand.ChangeCatalog(catalog, "document ${catalog.version}"))
     }
--- a/node/src/main/kotlin/org/auburnlever/fleet/ControlHost.kt
+++ b/node/src/main/kotlin/org/auburnlever/fleet/ControlHost.kt
@@ -6,6 +6,7 @@
 import com.github.michaelbull.result.map
 import com.github.michaelbull.result.mapError
 import io.github.oshai.kotlinlogging.KotlinLogging
+import io.micrometer.core.instrument.Gauge
 import io.micrometer.core.instrument.MeterRegistry
 import java.io.IOException
 import java.nio.file.Path
@@ -101,6 +102,7 @@
                     groupContext,
                     clock,
                 )
+                Gauge.builder("auburn.evacuations") { runner.view.state.evacuations.size }.register(registry)
                 val decisions = DecisionLog(registry)
                 val leader = WorkloadLeader(runner, workers, settings, scope, clock, decisions)
                 components = Components(runner, leader, FleetCallHandler(runner, leader, decisions, clock))
--- a/node/src/main/kotlin/org/auburnlever/fleet/FleetCallHandler.kt
+++ b/node/src/main/kotlin/org/auburnlever/fleet/FleetCallHandler.kt
@@ -30,6 +30,15 @@
             is FleetCall.ChangeCatalog ->
                 submit("configuration", "${call.catalog.version}", call.toCommand())
             is FleetCall.ReadJob -> read { it.answer(call) }
+            is FleetCall.Evacuate -> {
+                val domain = call.failureDomain
+                submit("evacuation_ordered", "$domain", WorkloadCommand.Evacuate(domain))
+            }
+            is FleetCall.EndEvacuation -> {
+                val domain = call.failureDomain
+                submit("evacuation_ended", "$domain", WorkloadCommand.EndEvacuation(domain))
+            }
+            FleetCall.ReadEvacuations -> read { FleetAnswer.Evacuations(it.evacuations) }
             FleetCall.ReadCatalog -> read { FleetAnswer.Document(it.document) }
             is FleetCall.ReportWorker -> acknowledge(leader.onReport(call.report))
             is FleetCall.WorkerLeft -> acknowledge(leader.onLeave(call.workerId))
