Read images, targets, allowed misses and figures, and send paces

Cause: the scheduler can't act on tasks that slow each other down, since it neither keeps what a step tells about itself nor reads what workers measure. Nothing decides with them yet. Result: JobMessageTest, WorkerMessagesTest, SettingsMessageTest, HttpWorkerClientTest, ApplyWorkloadTest, CoordinatorTest and WorkerBeliefTest pass.

--- a/core/src/main/kotlin/org/auburnlever/workload/Coordinator.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/Coordinator.kt
@@ -83,6 +83,7 @@
         when (order) {
             is WorkerOrder.Start -> handleStartAnswer(order, answer, nowMillis)
             is WorkerOrder.Stop -> handleStopAnswer(order, answer, nowMillis)
+            is WorkerOrder.Pace -> Unit
             is WorkerOrder.Poll -> handlePollAnswer(state, order, answer, sentMillis, nowMillis)
         }
     }
--- a/core/src/main/kotlin/org/auburnlever/workload/WorkloadLimits.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/WorkloadLimits.kt
@@ -11,6 +11,9 @@
  * @property longestLeaseMillis longest lease that a worker grants, whatever the order says
  * @property reclaimMillis time from the acceptance of an urgent job within its account's guarantee until all tasks of
  *   its first step must have begun
+ * @property paceMillis time after which a worker applies an ordered pace
+ * @property interferenceMillis time for which a serving task may be over its target because of tasks on spare cores
+ * @property noticeMillis time after which a task that is not at work counts as unavailable, whatever the cause
  */
 data class WorkloadLimits(
     val leaseMillis: Long = LEASE_MILLIS,
@@ -19,6 +22,9 @@
     val stopMillis: Long = STOP_MILLIS,
     val longestLeaseMillis: Long = LONGEST_LEASE_MILLIS,
     val reclaimMillis: Long = RECLAIM_MILLIS,
+    val paceMillis: Long = PACE_MILLIS,
+    val interferenceMillis: Long = INTERFERENCE_MILLIS,
+    val noticeMillis: Long = NOTICE_MILLIS,
 ) {
     /** Age of the last contact above which a worker gets no new work; two reports in a row may be lost. */
     val reportLimitMillis: Long get() = reportMillis * 2 + reportMillis / 2
@@ -50,6 +56,11 @@
         /** Shortest time that the operators' deployments set. */
         const val RECLAIM_MILLIS = 2_700L
 
+        /** Values of the operators' deployments that pace tasks; the shorter one where they differ. */
+        const val PACE_MILLIS = 100L
+        const val INTERFERENCE_MILLIS = 4_000L
+        const val NOTICE_MILLIS = 6_500L
+
         /** A stop, the poll that lists the end, two commits between regions, a plan and a start. */
         const val PREEMPTION_CALLS_MILLIS = 500L
 
--- a/core/src/main/kotlin/org/auburnlever/workload/runs/RunView.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/runs/RunView.kt
@@ -17,6 +17,7 @@
  * @property stopSentMillis when the newest stop was sent
  * @property stoppingSinceMillis when the first stop was sent
  * @property progressMillis when [percent] last changed; 0 for an adopted run without progress so far
+ * @property figure measurement of the newest list, see [ActiveRun.figure]
  */
 internal data class RunView(
     val worker: WorkerRef,
@@ -33,6 +34,7 @@
     val stopSentMillis: Long? = null,
     val stoppingSinceMillis: Long? = null,
     val stopAnsweredMillis: Long? = null,
+    val figure: Long? = null,
 ) {
     /** Time from the start to the newest poll that listed the run; null if none did. */
     val listedForMillis: Long? get() = listedMillis?.let { it - startedMillis }
--- a/core/src/main/kotlin/org/auburnlever/workload/runs/WorkerOrder.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/runs/WorkerOrder.kt
@@ -26,6 +26,14 @@
         val run: TaskRun,
     ) : WorkerOrder
 
+    /** Let [run] work at [percent] of its speed until another order or its end; its memory stays allocated. */
+    data class Pace(
+        override val worker: WorkerRef,
+        override val fencingToken: Long,
+        val run: TaskRun,
+        val percent: Int,
+    ) : WorkerOrder
+
     /**
      * Extend the lease, forget ends up to number [acknowledgedEnd], and list the active runs and the remaining ends.
      *
@@ -93,8 +101,13 @@
     MALFORMED,
 }
 
-/** A run that is active on a worker; [percent] is its progress. */
-data class ActiveRun(val run: TaskRun, val checkpoint: String, val percent: Int)
+/**
+ * A run that is active on a worker; [percent] is its progress.
+ *
+ * @property figure measurement over the last half second: the tail of the response times in milliseconds for a task
+ *   that serves, the cores in use in thousandths for others; null if the worker gives none
+ */
+data class ActiveRun(val run: TaskRun, val checkpoint: String, val percent: Int, val figure: Long? = null)
 
 /** An end with its number, which a worker incarnation assigns in ascending order. */
 data class NumberedEnd(val number: Long, val end: RunEnd)
--- a/core/src/main/kotlin/org/auburnlever/workload/runs/WorkerPolling.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/runs/WorkerPolling.kt
@@ -124,6 +124,7 @@
     progressMillis = if (active.percent != percent) nowMillis else progressMillis,
     checkpoint = active.checkpoint.ifEmpty { checkpoint },
     missingSinceMillis = null,
+    figure = active.figure,
 )
 
 /**
--- a/core/src/main/kotlin/org/auburnlever/workload/state/JobSpec.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/state/JobSpec.kt
@@ -39,6 +39,10 @@
  * @property maxTasksPerWorker maximum number of tasks of one occurrence of the step on a worker; 0 for no limit
  * @property longRunning whether the tasks run until the job is canceled and are restarted however they end
  * @property usesSpareCores whether the tasks run on left-over processor time, so that their cores are not reserved
+ * @property image what the tasks run, so that tasks of the same image behave alike; empty if it is not given
+ * @property targetMillis limit on the tail of the response times of tasks that serve users; 0 for other tasks
+ * @property missAllowed number of tasks that may be unavailable at the same time as a result of the scheduler's
+ *   actions; 0 if it is not given
  */
 @Serializable
 data class StepSpec(
@@ -55,6 +59,9 @@
     val speculative: Boolean = false,
     val longRunning: Boolean = false,
     @SerialName("fills") val usesSpareCores: Boolean = false,
+    val image: String = "",
+    val targetMillis: Long = 0,
+    val missAllowed: Int = 0,
 ) {
     /** Resources that one task reserves on its worker. */
     val reserved: Resources get() = if (usesSpareCores) need.copy(milliCores = 0) else need
--- a/core/src/test/kotlin/org/auburnlever/workload/SimulatedWorker.kt
+++ b/core/src/test/kotlin/org/auburnlever/workload/SimulatedWorker.kt
@@ -104,6 +104,7 @@
         return when (order) {
             is WorkerOrder.Start -> start(order, nowMillis, workMillis)
             is WorkerOrder.Stop -> stop(order.run, nowMillis)
+            is WorkerOrder.Pace -> OrderAnswer.Done(clockMillis(nowMillis))
             is WorkerOrder.Poll -> poll(order, nowMillis)
         }
     }
--- a/core/src/test/kotlin/org/auburnlever/workload/runs/WorkerBeliefTest.kt
+++ b/core/src/test/kotlin/org/auburnlever/workload/runs/WorkerBeliefTest.kt
@@ -141,7 +141,7 @@
             tick()
             orders.toList().also { orders.clear() }.forEach {
                 when (it) {
-                    is WorkerOrder.Start -> Unit
+                    is WorkerOrder.Start, is WorkerOrder.Pace -> Unit
                     is WorkerOrder.Stop -> answer(it, OrderAnswer.Done(clockMillis = 100_100))
                     is WorkerOrder.Poll -> answer(it, listed())
                 }
--- a/node/src/main/kotlin/org/auburnlever/fleet/DecisionLog.kt
+++ b/node/src/main/kotlin/org/auburnlever/fleet/DecisionLog.kt
@@ -30,6 +30,7 @@
         val kind = when (order) {
             is WorkerOrder.Start -> "start"
             is WorkerOrder.Stop -> "stop"
+            is WorkerOrder.Pace -> "pace"
             is WorkerOrder.Poll -> "look"
         }
         registry.timer("auburn.worker.order", "kind", kind).record(tookMillis, TimeUnit.MILLISECONDS)
