Stop no more tasks of a step than its missAllowed permits

Cause: preemption takes any number of long-running tasks of a step, also while others of it are away. Change: StopAllowance tells from the replicated state and the newest lists which runs may not be stopped by choice: what is not known to be at work counts as away, and for noticeMillis after an election none is stopped. Preemption leaves these runs out as candidates, and stalled ones are not stopped. Only with the feature interference.

--- a/core/src/main/kotlin/org/auburnlever/workload/Coordinator.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/Coordinator.kt
@@ -3,6 +3,7 @@
 import com.github.michaelbull.result.get
 import org.auburnlever.workload.admission.AdmissionForecast
 import org.auburnlever.workload.admission.backlogAfter
+import org.auburnlever.workload.interference.StopAllowance
 import org.auburnlever.workload.planning.PlanningInput
 import org.auburnlever.workload.planning.RunProgress
 import org.auburnlever.workload.planning.UrgentDemand
@@ -31,6 +32,7 @@
 import org.auburnlever.workload.runs.updateReachability
 import org.auburnlever.workload.state.JobAddress
 import org.auburnlever.workload.state.JobSpec
+import org.auburnlever.workload.state.TaskRun
 import org.auburnlever.workload.state.WorkloadCommand
 import org.auburnlever.workload.state.WorkloadReply
 import org.auburnlever.workload.state.WorkloadState
@@ -161,7 +163,7 @@
         val leadershipConfirmed = isConfirmed(confirmedMillis, nowMillis)
         if (leadershipConfirmed) {
             stopUnwantedRuns(state, nowMillis)
-            handleStalledRuns(state, nowMillis)
+            handleStalledRuns(state, nowMillis, protectedRuns(state, nowMillis))
             pollWorkers(confirmedMillis, nowMillis)
         }
         recordLostRuns(nowMillis)
@@ -194,6 +196,7 @@
             urgentReserve = demand.reserve(jobs),
             limits = limits,
             features = features,
+            protectedRuns = protectedRuns(state, nowMillis),
         )
         val plan = planWork(input, nowMillis)
         if (nowMillis >= forecastFromMillis) {
@@ -209,6 +212,13 @@
         }
     }
 
+    private fun LeaderState.protectedRuns(state: WorkloadState, nowMillis: Long): Set<TaskRun> =
+        if (SchedulingFeature.INTERFERENCE in features) {
+            StopAllowance(runs, workers, electedMillis, limits, nowMillis).protectedRuns(state.jobs.values)
+        } else {
+            emptySet()
+        }
+
     private fun isConfirmed(confirmedMillis: Long, nowMillis: Long): Boolean =
         nowMillis - confirmedMillis <= CONFIRMATION_LIMIT_MILLIS
 
--- a/core/src/main/kotlin/org/auburnlever/workload/planning/PlanningInput.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/planning/PlanningInput.kt
@@ -24,6 +24,7 @@
  * @property durations forecast of task durations and worker speeds
  * @property accountOrder rank of each account within a priority
  * @property neighbours tasks that slow each other down on one worker
+ * @property protectedRuns runs that must not be stopped for other work
  */
 data class PlanningInput(
     val jobs: Collection<JobRecord>,
@@ -37,4 +38,5 @@
     val durations: DurationForecast = DeclaredDurations,
     val accountOrder: AccountOrder = AccountOrder.EQUAL,
     val neighbours: NeighbourEvidence = NeighbourEvidence.NONE,
+    val protectedRuns: Set<TaskRun> = emptySet(),
 )
--- a/core/src/main/kotlin/org/auburnlever/workload/planning/PreemptionUnit.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/planning/PreemptionUnit.kt
@@ -57,6 +57,7 @@
     private val byWorker by lazy(LazyThreadSafetyMode.NONE) {
         val units = HashMap<String, MutableList<PreemptionUnit>>()
         for (unit in input.jobs.flatMap { it.unitsOf() }) {
+            if (unit.runs.any { (run, _) -> run in input.protectedRuns }) continue
             unit.runs.map { it.second.id }.distinct().forEach { id -> units.getOrPut(id) { ArrayList() } += unit }
         }
         units.values.forEach { onWorker -> onWorker.sortBy { it.stopCost.totalMilliCoreMillis } }
--- a/core/src/main/kotlin/org/auburnlever/workload/runs/StalledRuns.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/runs/StalledRuns.kt
@@ -8,9 +8,14 @@
  * Suspends workers on which a run makes no progress, and stops urgent runs there so that they start elsewhere.
  *
  * This handles workers that accept tasks and look healthy but do no work. Runs that are not urgent stay where they are,
- * since such a worker often recovers by itself and a stop would discard the progress.
+ * since such a worker often recovers by itself and a stop would discard the progress. The [protectedRuns] are not
+ * stopped.
  */
-internal fun LeaderState.handleStalledRuns(state: WorkloadState, nowMillis: Long) {
+internal fun LeaderState.handleStalledRuns(
+    state: WorkloadState,
+    nowMillis: Long,
+    protectedRuns: Set<TaskRun> = emptySet(),
+) {
     val stalled = runs.filter { (run, view) -> view.stalled(nowMillis) && state.makesProgress(run) }
     stalled.values.map { it.worker.id }.toSet().mapNotNull { workers[it] }
         .filter { nowMillis >= it.suspendedUntilMillis }
@@ -18,7 +23,8 @@
             logDecision("worker_stalled", view.ref.id, "forMillis" to STALL_MILLIS)
             put(view.copy(suspendedUntilMillis = nowMillis + AVOID_MILLIS))
         }
-    stalled.filterKeys { state.jobs[it.task.job]?.policy?.priority == URGENT }.forEach { (run, view) ->
+    val urgent = stalled.filterKeys { it !in protectedRuns && state.jobs[it.task.job]?.policy?.priority == URGENT }
+    urgent.forEach { (run, view) ->
         logDecision("task_stalled", run.toString(), "worker" to view.worker.id, "percent" to view.percent)
         stop(run, view, nowMillis)
     }
