Notice interfering neighbours and pace tasks on spare cores

Cause: tasks on spare cores push serving tasks over their target, and the scheduler neither notices nor acts. Change: InterferenceEvidence compares the strain of an image with and without a neighbour, on the same worker or on two others; late lists, cold tasks and uncertain paces are left out. PaceControl slows the most suspected neighbours first, all after two fifths of the permitted time, and restores them one at a time; it repeats orders that may be overtaken by a late one, and has a run moved that can't be paced, if missAllowed permits. Workers whose tasks have little slack are polled every 500 ms. The evidence is passed to the plan as NeighbourEvidence, which placement does not use yet. Only with the feature interference.

--- a/core/src/main/kotlin/org/auburnlever/workload/Coordinator.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/Coordinator.kt
@@ -3,7 +3,11 @@
 import com.github.michaelbull.result.get
 import org.auburnlever.workload.admission.AdmissionForecast
 import org.auburnlever.workload.admission.backlogAfter
+import org.auburnlever.workload.interference.Interference
 import org.auburnlever.workload.interference.StopAllowance
+import org.auburnlever.workload.interference.handleInterference
+import org.auburnlever.workload.interference.handlePaceAnswer
+import org.auburnlever.workload.interference.watchedWorkers
 import org.auburnlever.workload.planning.PlanningInput
 import org.auburnlever.workload.planning.RunProgress
 import org.auburnlever.workload.planning.UrgentDemand
@@ -56,6 +60,8 @@
     private val leader = LeaderState(term, electedMillis, limits)
     private var demand = UrgentDemand()
     private var forecast = AdmissionForecast()
+    private val handlesInterference = SchedulingFeature.INTERFERENCE in features
+    private var interference = Interference(limits)
 
     // Until then, workers may be unknown only because their reports have not come yet.
     private val forecastFromMillis = electedMillis + limits.reportMillis * REPORTS_UNTIL_FORECAST
@@ -85,8 +91,14 @@
         when (order) {
             is WorkerOrder.Start -> handleStartAnswer(order, answer, nowMillis)
             is WorkerOrder.Stop -> handleStopAnswer(order, answer, nowMillis)
-            is WorkerOrder.Pace -> Unit
-            is WorkerOrder.Poll -> handlePollAnswer(state, order, answer, sentMillis, nowMillis)
+            is WorkerOrder.Pace -> interference = handlePaceAnswer(interference, order, answer, nowMillis)
+            is WorkerOrder.Poll -> {
+                val before = runs
+                handlePollAnswer(state, order, answer, sentMillis, nowMillis)
+                if (handlesInterference && answer is OrderAnswer.Listed) {
+                    interference = handleInterference(interference, state, order, before, sentMillis, nowMillis)
+                }
+            }
         }
     }
 
@@ -158,13 +170,14 @@
      */
     fun tick(state: WorkloadState, confirmedMillis: Long, nowMillis: Long): List<CoordinatorEffect> = leader.collect {
         forgetEndedRuns(state)
+        interference = interference.copy(control = interference.control.keepRuns { it in runs })
         // The assignments of a proposal may be applied before the reply to it is handled, which then starts them.
         if (!assigning) adoptRuns(state)
         val leadershipConfirmed = isConfirmed(confirmedMillis, nowMillis)
         if (leadershipConfirmed) {
             stopUnwantedRuns(state, nowMillis)
             handleStalledRuns(state, nowMillis, protectedRuns(state, nowMillis))
-            pollWorkers(confirmedMillis, nowMillis)
+            pollWorkers(confirmedMillis, nowMillis, watchedWorkers(interference))
         }
         recordLostRuns(nowMillis)
         if (leadershipConfirmed && !assigning && nowMillis >= nextPlanMillis) plan(state, nowMillis)
@@ -196,6 +209,7 @@
             urgentReserve = demand.reserve(jobs),
             limits = limits,
             features = features,
+            neighbours = interference.neighbours(state, runs, nowMillis),
             protectedRuns = protectedRuns(state, nowMillis),
         )
         val plan = planWork(input, nowMillis)
@@ -213,7 +227,7 @@
     }
 
     private fun LeaderState.protectedRuns(state: WorkloadState, nowMillis: Long): Set<TaskRun> =
-        if (SchedulingFeature.INTERFERENCE in features) {
+        if (handlesInterference) {
             StopAllowance(runs, workers, electedMillis, limits, nowMillis).protectedRuns(state.jobs.values)
         } else {
             emptySet()
--- a/core/src/main/kotlin/org/auburnlever/workload/runs/WorkerPolling.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/runs/WorkerPolling.kt
@@ -7,8 +7,12 @@
 import org.auburnlever.workload.state.WorkerRef
 import org.auburnlever.workload.state.WorkloadState
 
-/** Sends the polls that are due; they extend leases, counted from [confirmedMillis]. */
-internal fun LeaderState.pollWorkers(confirmedMillis: Long, nowMillis: Long) {
+/**
+ * Sends the polls that are due; they extend leases, counted from [confirmedMillis].
+ *
+ * The workers in [watched] answer sooner, since what they measure is needed more often.
+ */
+internal fun LeaderState.pollWorkers(confirmedMillis: Long, nowMillis: Long, watched: Set<String> = emptySet()) {
     val busy = runs.values.map { it.worker.id }.toSet()
     workers.values.filter { it.dueForPoll(it.ref.id in busy, limits, nowMillis) }.forEach { due ->
         val view = if (due.pollSentMillis == null) due else due.copy(failedPolls = due.failedPolls + 1)
@@ -21,12 +25,13 @@
         // A deadline never shortens a lease, and an earlier order may have given a longer one.
         val extendedMillis = if (extends) nowMillis + limits.leaseSafeMillis else 0
         put(view.copy(pollSentMillis = nowMillis, leaseEndMillis = maxOf(view.leaseEndMillis, extendedMillis)))
+        val longestWaitMillis = if (view.ref.id in watched) WATCHED_WAIT_MILLIS else POLL_WAIT_MILLIS
         val poll = WorkerOrder.Poll(
             worker = view.ref,
             fencingToken = term,
             acknowledgedEnd = view.acknowledgedEnd,
             deadlineMillis = deadlineMillis.takeIf { extends },
-            waitMillis = if (extends && view.ref.id in busy) POLL_WAIT_MILLIS else 0,
+            waitMillis = if (extends && view.ref.id in busy) longestWaitMillis else 0,
         )
         order(poll)
     }
@@ -160,6 +165,9 @@
 
 /** Time that a poll waits for an end; three polls fit into a lease. */
 private const val POLL_WAIT_MILLIS = 1_500L
+
+/** The same for a worker whose serving tasks have little slack; figures cover the last half second. */
+private const val WATCHED_WAIT_MILLIS = 500L
 private const val FAILED_POLL_DELAY_MILLIS = 300L
 
 /** Time after which no answer comes any more; the driver gives up an order in less than half of it. */
--- a/core/src/test/kotlin/org/auburnlever/workload/CoordinatorHarness.kt
+++ b/core/src/test/kotlin/org/auburnlever/workload/CoordinatorHarness.kt
@@ -9,10 +9,10 @@
 import kotlin.test.assertNotNull
 
 /** Drives a [Coordinator] of one replica in virtual time and collects its orders and log entries. */
-internal abstract class CoordinatorHarness {
+internal abstract class CoordinatorHarness(private val features: Set<SchedulingFeature> = emptySet()) {
     protected val limits = WorkloadLimits()
     protected val workload = Workload(nowMillis = 10_000).withCatalog()
-    protected var coordinator = Coordinator(TERM, electedMillis = 10_000, limits)
+    protected var coordinator = Coordinator(TERM, electedMillis = 10_000, limits, features)
         private set
     protected val orders = ArrayList<WorkerOrder>()
     protected val logEntries = ArrayList<DecisionLogEntry>()
@@ -40,7 +40,7 @@
     /** Replaces the leader by one that knows only the replicated state. */
     protected fun electLeader() {
         term += 1
-        coordinator = Coordinator(term, workload.nowMillis, limits)
+        coordinator = Coordinator(term, workload.nowMillis, limits, features)
     }
 
     protected fun tick(afterMillis: Long = 100, confirmedAgoMillis: Long = 0) {
