--- a/core/src/main/kotlin/org/auburnlever/workload/Coordinator.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/Coordinator.kt
@@ -4,9 +4,10 @@
 import org.auburnlever.workload.admission.AdmissionForecast
 import org.auburnlever.workload.admission.backlogAfter
 import org.auburnlever.workload.interference.Interference
-import org.auburnlever.workload.interference.StopAllowance
+import org.auburnlever.workload.interference.PollRound
 import org.auburnlever.workload.interference.handleInterference
 import org.auburnlever.workload.interference.handlePaceAnswer
+import org.auburnlever.workload.interference.protectedRuns
 import org.auburnlever.workload.interference.watchedWorkers
 import org.auburnlever.workload.planning.PlanningInput
 import org.auburnlever.workload.planning.RunProgress
@@ -36,7 +37,6 @@
 import org.auburnlever.workload.runs.updateReachability
 import org.auburnlever.workload.state.JobAddress
 import org.auburnlever.workload.state.JobSpec
-import org.auburnlever.workload.state.TaskRun
 import org.auburnlever.workload.state.WorkloadCommand
 import org.auburnlever.workload.state.WorkloadReply
 import org.auburnlever.workload.state.WorkloadState
@@ -96,7 +96,8 @@
                 val before = runs
                 handlePollAnswer(state, order, answer, sentMillis, nowMillis)
                 if (handlesInterference && answer is OrderAnswer.Listed) {
-                    interference = handleInterference(interference, state, order, before, sentMillis, nowMillis)
+                    val round = PollRound(order, before, sentMillis, nowMillis)
+                    interference = handleInterference(interference, state, round)
                 }
             }
         }
@@ -176,7 +177,7 @@
         val leadershipConfirmed = isConfirmed(confirmedMillis, nowMillis)
         if (leadershipConfirmed) {
             stopUnwantedRuns(state, nowMillis)
-            handleStalledRuns(state, nowMillis, protectedRuns(state, nowMillis))
+            handleStalledRuns(state, nowMillis, protectedRuns(state, handlesInterference, nowMillis))
             pollWorkers(confirmedMillis, nowMillis, watchedWorkers(interference))
         }
         recordLostRuns(nowMillis)
@@ -210,7 +211,7 @@
             limits = limits,
             features = features,
             neighbours = interference.neighbours(state, runs, nowMillis),
-            protectedRuns = protectedRuns(state, nowMillis),
+            protectedRuns = protectedRuns(state, handlesInterference, nowMillis),
         )
         val plan = planWork(input, nowMillis)
         if (nowMillis >= forecastFromMillis) {
@@ -226,13 +227,6 @@
         }
     }
 
-    private fun LeaderState.protectedRuns(state: WorkloadState, nowMillis: Long): Set<TaskRun> =
-        if (handlesInterference) {
-            StopAllowance(runs, workers, electedMillis, limits, nowMillis).protectedRuns(state.jobs.values)
-        } else {
-            emptySet()
-        }
-
     private fun isConfirmed(confirmedMillis: Long, nowMillis: Long): Boolean =
         nowMillis - confirmedMillis <= CONFIRMATION_LIMIT_MILLIS
 
--- a/core/src/main/kotlin/org/auburnlever/workload/interference/InterferenceEvidence.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/interference/InterferenceEvidence.kt
@@ -182,7 +182,6 @@
 
 /** Removes the entry of the least [weight] if there are more than [limit]. */
 private fun <K, V> PersistentMap<K, V>.bounded(limit: Int, weight: (V) -> Double): PersistentMap<K, V> {
-    if (size <= limit) return this
-    val least = entries.minByOrNull { weight(it.value) } ?: return this
-    return remove(least.key)
+    val least = if (size > limit) entries.minByOrNull { weight(it.value) } else null
+    return if (least == null) this else remove(least.key)
 }
--- a/core/src/main/kotlin/org/auburnlever/workload/interference/PaceControl.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/interference/PaceControl.kt
@@ -60,8 +60,8 @@
  * Paces tasks on spare cores beside serving tasks that are over their target.
  *
  * Load pattern: the load of a serving task, or the harm of its neighbours, changes within seconds, and a task may be
- * over its target for no longer than `interferenceMillis`. The most suspected neighbours are slowed down first, a few at
- * a time; after two fifths of that time all are, which leaves the rest for a lost order. Paces are raised again one
+ * over its target for no longer than `interferenceMillis`. The most suspected neighbours are slowed down first, a few
+ * at a time; after two fifths of that time all are, which leaves the rest for a lost order. Paces are raised again one
  * step and one run at a time while the serving tasks have slack; between slack and target nothing changes, and a
  * restoration that brings a task over its target doubles the time before the next one, so that a target just at the
  * limit does not lead to an oscillation. Figures are only used if they were measured after the last change took effect.
@@ -74,6 +74,9 @@
     val paces: PersistentMap<TaskRun, RunPace> = persistentMapOf(),
     val workers: PersistentMap<String, WorkerPacing> = persistentMapOf(),
 ) {
+    /** Time over the target after which all neighbours are slowed down. */
+    private val urgentMillis: Long get() = limits.interferenceMillis * URGENT_PERCENT / PERCENT
+
     /** The result of a decision. */
     class Decision(val control: PaceControl, val steps: List<PaceStep>)
 
@@ -83,7 +86,7 @@
         return ordered ?: PERCENT.takeIf { !task.adopted || task.showsFullPace }
     }
 
-    /** Returns the pace at which [task] worked while the figures of [reading] were measured; null if it is not known. */
+    /** Returns the pace of [task] at the time of the figures of [reading]; null if it is not known. */
     fun measuredPaceOf(task: SpareCoreTask, reading: WorkerReading): Int? {
         val certain = paces[task.run]?.answered != false
         return if (certain && isSettled(reading)) paceOf(task, reading.worker) else null
@@ -113,23 +116,22 @@
         val known = workers[reading.worker.id]?.takeIf { it.worker == reading.worker }
         val warm = reading.serving.filter { it.ageMillis >= WARM_UP_MILLIS }
         val pacing = (known ?: WorkerPacing(reading.worker)).seen(warm, isNew = known == null, nowMillis)
-        val settled = isSettled(reading)
-        val hasSlack = !reading.delayed && warm.all { it.strainPercent <= SLACK_PERCENT }
-        val over = warm.filter { it.isOverTarget }
-        val overMillis = over.maxOfOrNull { nowMillis - pacing.underMillis.getValue(it.run) } ?: 0
-        val urgent = overMillis >= limits.interferenceMillis * URGENT_PERCENT / PERCENT
+        val overMillis = warm.filter { it.isOverTarget }.maxOfOrNull { nowMillis - pacing.underMillis.getValue(it.run) }
+        val urgent = overMillis != null && overMillis >= urgentMillis
+        val hasSlack = reading.hasSlack(warm)
+        val choice = PaceChoice(this, reading, suspicion)
         val changes = when {
-            over.isNotEmpty() && (settled || urgent) -> slowDown(reading, urgent, suspicion)
-            over.isNotEmpty() || !hasSlack || reading.spare.isEmpty() -> emptyList()
-            warm.isEmpty() && reading.serving.isEmpty() -> restoreAll(reading)
-            settled && pacing.mayRestore(nowMillis) -> restoreOne(reading, suspicion)
+            overMillis != null -> if (isSettled(reading) || urgent) choice.slowDown(urgent) else emptyList()
+            !hasSlack -> emptyList()
+            reading.serving.isEmpty() -> choice.restoreAll()
+            isSettled(reading) && pacing.mayRestore(nowMillis) -> choice.restoreOne()
             else -> emptyList()
         }
-        val moves = if (urgent) moves(reading) else emptyList()
-        val repeats = repeats(reading, nowMillis).filter { repeat -> (changes + moves).none { it.run == repeat.run } }
+        val moves = if (urgent) choice.moves() else emptyList()
+        val repeats = choice.repeats(nowMillis).filter { repeat -> (changes + moves).none { it.run == repeat.run } }
         val steps = (moves + changes.filter { step -> moves.none { it.run == step.run } } + repeats).take(MAX_STEPS)
-        val slackSinceMillis = if (hasSlack && over.isEmpty()) pacing.slackSinceMillis ?: nowMillis else null
-        val updated = pacing.copy(slackSinceMillis = slackSinceMillis).after(changes, over.isNotEmpty(), nowMillis)
+        val slackSinceMillis = if (hasSlack) pacing.slackSinceMillis ?: nowMillis else null
+        val updated = pacing.copy(slackSinceMillis = slackSinceMillis).after(changes, overMillis != null, nowMillis)
         val control = copy(workers = workers.put(reading.worker.id, updated))
         return Decision(steps.fold(control) { next, step -> next.sent(step, reading.worker, nowMillis) }, steps)
     }
@@ -147,50 +149,13 @@
         }
         // The figures of the next half second still contain time before a change that was carried out just now.
         val worker = workers[pace.worker.id]?.takeIf { updated.answered && !pace.answered }
+            ?.copy(changedMillis = nowMillis)
         return copy(
             paces = if (gone) paces.remove(run) else paces.put(run, updated),
-            workers = if (worker == null) workers else workers.put(pace.worker.id, worker.copy(changedMillis = nowMillis)),
+            workers = if (worker == null) workers else workers.put(pace.worker.id, worker),
         )
     }
 
-    private fun slowDown(
-        reading: WorkerReading,
-        urgent: Boolean,
-        suspicion: (SpareCoreTask) -> Long,
-    ): List<PaceStep.Order> {
-        val working = reading.spare.map { it to (paceOf(it, reading.worker) ?: PERCENT) }
-            .filter { (_, pace) -> pace > 0 }
-            .sortedByDescending { (task, _) -> suspicion(task) }
-        return if (urgent) {
-            working.map { (task, _) -> PaceStep.Order(task.run, percent = 0) }
-        } else {
-            working.take(MAX_SLOWED_AT_ONCE).map { (task, pace) ->
-                PaceStep.Order(task.run, if (pace > SLOWED_PERCENT) SLOWED_PERCENT else 0)
-            }
-        }
-    }
-
-    private fun restoreAll(reading: WorkerReading): List<PaceStep.Order> =
-        reading.spare.filter { paceOf(it, reading.worker) != PERCENT }.map { PaceStep.Order(it.run, PERCENT) }
-
-    private fun restoreOne(reading: WorkerReading, suspicion: (SpareCoreTask) -> Long): List<PaceStep.Order> =
-        reading.spare.map { it to (paceOf(it, reading.worker) ?: SLOWED_PERCENT) }
-            .filter { (_, pace) -> pace < PERCENT }
-            .minByOrNull { (task, _) -> suspicion(task) }
-            ?.let { (task, pace) -> listOf(PaceStep.Order(task.run, minOf(PERCENT, pace + RESTORED_PERCENT))) }
-            .orEmpty()
-
-    private fun moves(reading: WorkerReading): List<PaceStep.Move> = reading.spare
-        .filter { task -> paces[task.run].let { it != null && !it.answered && it.failures >= FAILURES_UNTIL_MOVE } }
-        .map { PaceStep.Move(it.run) }
-
-    private fun repeats(reading: WorkerReading, nowMillis: Long): List<PaceStep.Order> = reading.spare.mapNotNull { task ->
-        val pace = paces[task.run]?.takeIf { it.worker == reading.worker }
-        val unanswered = pace != null && !pace.answered && nowMillis - pace.sentMillis >= ANSWER_MILLIS
-        val uncertain = pace?.repeatMillis.let { it != null && nowMillis >= it }
-        if (pace != null && (unanswered || uncertain)) PaceStep.Order(task.run, pace.percent, repeated = true) else null
-    }
-
     private fun sent(step: PaceStep, worker: WorkerRef, nowMillis: Long): PaceControl {
         if (step !is PaceStep.Order) return this
         val before = paces[step.run]?.takeIf { it.worker == worker }
@@ -207,20 +172,22 @@
         return copy(paces = paces.put(step.run, pace))
     }
 
+    /** Returns the pacing with the times at which the [serving] tasks were below their target. */
+    private fun WorkerPacing.seen(serving: List<ServingTask>, isNew: Boolean, nowMillis: Long): WorkerPacing {
+        // Without an earlier figure, a task may have been over its target since its start or an earlier leader's time.
+        val unseenMillis = if (isNew) urgentMillis else 0
+        return copy(
+            underMillis = serving.associate { task ->
+                val before = underMillis[task.run] ?: (nowMillis - minOf(unseenMillis, task.ageMillis - WARM_UP_MILLIS))
+                task.run to if (task.isOverTarget) before else nowMillis
+            },
+        )
+    }
+
     private companion object {
         /** Share of the permitted time over the target after which all neighbours are slowed down. */
         const val URGENT_PERCENT = 40
 
-        /** Tail in percent of the target up to which there is slack; figures are approximate. */
-        const val SLACK_PERCENT = 85
-
-        /** First step down; an image that does little harm keeps a part of its work. */
-        const val SLOWED_PERCENT = 40
-
-        /** One step up takes a fifth of the harm back. */
-        const val RESTORED_PERCENT = 20
-        const val MAX_SLOWED_AT_ONCE = 2
-
         /** Orders for one worker in one decision; a worker has eight accelerators and seldom more spare-core tasks. */
         const val MAX_STEPS = 8
 
@@ -230,24 +197,8 @@
         /** A task that has just started is over its target for a moment in any case. */
         const val WARM_UP_MILLIS = 1_500L
 
-        /** An answer takes 40 ms between regions; later, the order is sent again. */
-        const val ANSWER_MILLIS = 500L
-
         /** Time within which an unanswered order is carried out, if at all. */
         const val LATE_ORDER_MILLIS = 6_000L
-        const val FAILURES_UNTIL_MOVE = 2
-    }
-
-    /** Returns the pacing with the times at which the [serving] tasks were below their target. */
-    private fun WorkerPacing.seen(serving: List<ServingTask>, isNew: Boolean, nowMillis: Long): WorkerPacing {
-        // Without an earlier figure, a task may have been over its target since its start or an earlier leader's time.
-        val unseenMillis = if (isNew) limits.interferenceMillis * URGENT_PERCENT / PERCENT else 0
-        return copy(
-            underMillis = serving.associate { task ->
-                val before = underMillis[task.run] ?: (nowMillis - minOf(unseenMillis, task.ageMillis - WARM_UP_MILLIS))
-                task.run to if (task.isOverTarget) before else nowMillis
-            },
-        )
     }
 }
 
--- a/core/src/main/kotlin/org/auburnlever/workload/interference/StopAllowance.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/interference/StopAllowance.kt
@@ -1,6 +1,7 @@
 package org.auburnlever.workload.interference
 
 import org.auburnlever.workload.WorkloadLimits
+import org.auburnlever.workload.runs.LeaderState
 import org.auburnlever.workload.runs.RunView
 import org.auburnlever.workload.runs.WorkerView
 import org.auburnlever.workload.state.JobPhase
@@ -9,6 +10,7 @@
 import org.auburnlever.workload.state.TaskId
 import org.auburnlever.workload.state.TaskPhase
 import org.auburnlever.workload.state.TaskRun
+import org.auburnlever.workload.state.WorkloadState
 
 /**
  * Decides which runs the scheduler may stop by its own choice without taking more tasks of a step than its
@@ -33,7 +35,8 @@
     fun protectedRuns(jobs: Collection<JobRecord>): Set<TaskRun> {
         val protected = HashSet<TaskRun>()
         for (job in jobs) {
-            if (job.phase == JobPhase.ACTIVE && job.spec.steps.any { it.missAllowed > 0 }) protected += protectedRuns(job)
+            val bounded = job.phase == JobPhase.ACTIVE && job.spec.steps.any { it.missAllowed > 0 }
+            if (bounded) protected += protectedRuns(job)
         }
         return protected
     }
@@ -67,11 +70,11 @@
     }
 
     private fun isAtWork(run: TaskRun): Boolean {
-        val view = runs[run] ?: return false
-        val listedMillis = view.listedMillis ?: return false
+        val view = runs[run]
         // A stop may be carried out seconds after it is sent, so what a list shows must hold for longer than that.
-        val recent = nowMillis - listedMillis <= limits.noticeMillis / 2
-        return recent && view.percent >= AT_WORK_PERCENT && view.stopSentMillis == null && view.missingSinceMillis == null
+        val oldestMillis = nowMillis - limits.noticeMillis / 2
+        val listed = view?.listedMillis?.let { it >= oldestMillis } == true && view.percent >= AT_WORK_PERCENT
+        return listed && view?.stopSentMillis == null && view?.missingSinceMillis == null
     }
 
     /** The rule does not cover workers that drain: their tasks end with them. */
@@ -84,3 +87,11 @@
         const val AT_WORK_PERCENT = 100
     }
 }
+
+/** Returns the runs that this leader may not stop by choice; none unless [enabled]. */
+internal fun LeaderState.protectedRuns(state: WorkloadState, enabled: Boolean, nowMillis: Long): Set<TaskRun> =
+    if (enabled) {
+        StopAllowance(runs, workers, electedMillis, limits, nowMillis).protectedRuns(state.jobs.values)
+    } else {
+        emptySet()
+    }
--- a/core/src/main/kotlin/org/auburnlever/workload/interference/WorkerReading.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/interference/WorkerReading.kt
@@ -10,6 +10,7 @@
  * @property spare tasks that use spare cores
  * @property others tasks that neither serve nor use spare cores, with their speed since the list before
  * @property measuredMillis time before which nothing that the list shows was measured
+ * @property unread whether a task with a target is assigned to the worker of which the list gives no tail
  * @property delayed whether the answer took longer than the poll waited, so that its figures may be old
  */
 internal data class WorkerReading(
@@ -19,7 +20,17 @@
     val others: List<WorkingTask> = emptyList(),
     val measuredMillis: Long,
     val delayed: Boolean = false,
-)
+    val unread: Boolean = false,
+) {
+    /** Returns whether all [tasks] have slack; unknown if the figures are old or one is missing. */
+    fun hasSlack(tasks: List<ServingTask>): Boolean =
+        !delayed && !unread && tasks.all { it.strainPercent <= SLACK_PERCENT }
+
+    private companion object {
+        /** Figures are approximate, and a raised pace adds to the strain. */
+        const val SLACK_PERCENT = 85
+    }
+}
 
 /** A task that serves users; [tailMillis] is the tail of its response times, which must stay below [targetMillis]. */
 internal data class ServingTask(
