--- a/core/src/main/kotlin/org/auburnlever/workload/Coordinator.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/Coordinator.kt
@@ -10,6 +10,12 @@
 import org.auburnlever.workload.evacuation.progress
 import org.auburnlever.workload.evacuation.startingWorkers
 import org.auburnlever.workload.evacuation.withholdEvacuated
+import org.auburnlever.workload.interference.Interference
+import org.auburnlever.workload.interference.PollRound
+import org.auburnlever.workload.interference.handleInterference
+import org.auburnlever.workload.interference.handlePaceAnswer
+import org.auburnlever.workload.interference.protectedRuns
+import org.auburnlever.workload.interference.watchedWorkers
 import org.auburnlever.workload.planning.PlanningInput
 import org.auburnlever.workload.planning.UrgentDemand
 import org.auburnlever.workload.planning.guaranteedJobs
@@ -60,6 +66,8 @@
     private val leader = LeaderState(term, electedMillis, limits)
     private var demand = UrgentDemand()
     private var forecast = AdmissionForecast()
+    private val handlesInterference = SchedulingFeature.INTERFERENCE in features
+    private var interference = Interference(limits)
 
     // Until then, workers may be unknown only because their reports have not come yet.
     private val forecastFromMillis = electedMillis + limits.reportMillis * REPORTS_UNTIL_FORECAST
@@ -89,7 +97,15 @@
         when (order) {
             is WorkerOrder.Start -> handleStartAnswer(order, answer, nowMillis)
             is WorkerOrder.Stop -> handleStopAnswer(order, answer, nowMillis)
-            is WorkerOrder.Poll -> handlePollAnswer(state, order, answer, sentMillis, nowMillis)
+            is WorkerOrder.Pace -> interference = handlePaceAnswer(interference, order, answer, nowMillis)
+            is WorkerOrder.Poll -> {
+                val before = runs
+                handlePollAnswer(state, order, answer, sentMillis, nowMillis)
+                if (handlesInterference && answer is OrderAnswer.Listed) {
+                    val round = PollRound(order, before, sentMillis, nowMillis)
+                    interference = handleInterference(interference, state, round)
+                }
+            }
         }
     }
 
@@ -161,13 +177,14 @@
      */
     fun tick(state: WorkloadState, confirmedMillis: Long, nowMillis: Long): List<CoordinatorEffect> = leader.collect {
         forgetEndedRuns(state)
+        interference = interference.copy(control = interference.control.keepRuns { it in runs })
         // The assignments of a proposal may be applied before the reply to it is handled, which then starts them.
         if (!assigning) adoptRuns(state)
         val leadershipConfirmed = isConfirmed(confirmedMillis, nowMillis)
         if (leadershipConfirmed) {
             stopUnwantedRuns(state, nowMillis)
-            handleStalledRuns(state, nowMillis)
-            pollWorkers(confirmedMillis, nowMillis)
+            handleStalledRuns(state, nowMillis, protectedRuns(state, handlesInterference, nowMillis))
+            pollWorkers(confirmedMillis, nowMillis, watchedWorkers(interference))
         }
         recordLostRuns(nowMillis)
         if (leadershipConfirmed && !assigning && nowMillis >= nextPlanMillis) plan(state, nowMillis)
@@ -201,6 +218,8 @@
             urgentReserve = demand.reserve(jobs, evacuatedWorkers(state)),
             limits = limits,
             features = features,
+            neighbours = interference.neighbours(state, runs, nowMillis),
+            protectedRuns = protectedRuns(state, handlesInterference, nowMillis),
         )
         val plan = planWork(input, nowMillis)
         if (nowMillis >= forecastFromMillis) {
--- a/core/src/main/kotlin/org/auburnlever/workload/evacuation/EvacuationMoves.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/evacuation/EvacuationMoves.kt
@@ -66,7 +66,7 @@
     /** Returns the moves to start now. */
     fun find(): List<EvacuationMove> {
         val (moving, settled) = units().partition { unit -> unit.runs.any { it in input.stopping } }
-        return settled.filter { it.worthMoving() }
+        return settled.filter { unit -> unit.runs.none { it in input.protectedRuns } && unit.worthMoving() }
             .sortedWith(compareBy({ it.kind }, { it.cost() }, { it.runs.first().toString() }))
             .distinctBy { if (it.step.longRunning) it.stepId else it.runs.first() }
             .asSequence()
