Order waiting work by what its account has had of its share

Cause: one account's burst went ahead of all other accounts of its priority. Change: AccountShares derives each account's weighted use (dominant resource, time constant of 10 s) and its share (guarantee, then equal parts) from the replicated jobs; the plan orders by the resulting coarse rank within priority and standing, counting the account's work that waits ahead. Only with fair-sharing; without it the order is unchanged.

--- a/core/src/main/kotlin/org/auburnlever/workload/Coordinator.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/Coordinator.kt
@@ -3,6 +3,7 @@
 import com.github.michaelbull.result.get
 import org.auburnlever.workload.admission.AdmissionForecast
 import org.auburnlever.workload.admission.backlogAfter
+import org.auburnlever.workload.learning.DeclaredDurations
 import org.auburnlever.workload.planning.PlanningInput
 import org.auburnlever.workload.planning.RunProgress
 import org.auburnlever.workload.planning.UrgentDemand
@@ -29,6 +30,9 @@
 import org.auburnlever.workload.runs.stop
 import org.auburnlever.workload.runs.stopUnwantedRuns
 import org.auburnlever.workload.runs.updateReachability
+import org.auburnlever.workload.sharing.AccountOrder
+import org.auburnlever.workload.sharing.AccountShares
+import org.auburnlever.workload.sharing.logAccountShares
 import org.auburnlever.workload.state.JobAddress
 import org.auburnlever.workload.state.JobSpec
 import org.auburnlever.workload.state.WorkloadCommand
@@ -57,6 +61,8 @@
 
     // Until then, workers may be unknown only because their reports have not come yet.
     private val forecastFromMillis = electedMillis + limits.reportMillis * REPORTS_UNTIL_FORECAST
+    private var shares: AccountShares? = null
+    private var sharesMillis = 0L
     private var assigning = false
     private var nextPlanMillis = electedMillis + limits.reportMillis / 2
     private var lastPlanMillis = 0L
@@ -169,6 +175,7 @@
             nextSummaryMillis = nowMillis + SUMMARY_INTERVAL_MILLIS
             logUnresolvedRuns(unresolvedSinceMillis = nowMillis - SUMMARY_INTERVAL_MILLIS, nowMillis)
             logFleetSummary(state, demand.reserve(state.jobs.values), nowMillis)
+            shares?.let { logAccountShares(it) }
         }
         if (nowMillis >= nextForgetMillis) {
             nextForgetMillis = nowMillis + FORGET_INTERVAL_MILLIS
@@ -193,6 +200,7 @@
             urgentReserve = demand.reserve(jobs),
             limits = limits,
             features = features,
+            accountOrder = accountOrder(state, nowMillis),
         )
         val plan = planWork(input, nowMillis)
         if (nowMillis >= forecastFromMillis) {
@@ -208,6 +216,16 @@
         }
     }
 
+    private fun LeaderState.accountOrder(state: WorkloadState, nowMillis: Long): AccountOrder {
+        if (SchedulingFeature.FAIR_SHARING !in features) return AccountOrder.EQUAL
+        val known = shares
+        if (known != null && nowMillis - sharesMillis < SHARES_INTERVAL_MILLIS) return known
+        sharesMillis = nowMillis
+        val jobs = state.jobs.values
+        return AccountShares.of(jobs, workers.values, state.guarantees(), DeclaredDurations, nowMillis)
+            .also { shares = it }
+    }
+
     private fun isConfirmed(confirmedMillis: Long, nowMillis: Long): Boolean =
         nowMillis - confirmedMillis <= CONFIRMATION_LIMIT_MILLIS
 
@@ -218,6 +236,9 @@
         /** Starts wait for a commit of about 50 ms, so jobs within half of that lose nothing by sharing a plan. */
         const val MIN_PLAN_GAP_MILLIS = 25L
 
+        /** Shares change over seconds; computing them reads all tasks of the last minute. */
+        const val SHARES_INTERVAL_MILLIS = 200L
+
         /** One election timeout: without a confirmation for this long, another leader may have been elected. */
         const val CONFIRMATION_LIMIT_MILLIS = 1_000L
 
--- a/core/src/main/kotlin/org/auburnlever/workload/planning/WorkPlan.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/planning/WorkPlan.kt
@@ -32,14 +32,25 @@
         PreemptionRules(input.limits, nowMillis),
         reservedForUrgent = fleet.workersToReserve(input.urgentReserve),
     )
-    input.jobs.asSequence()
-        .filter { it.phase == JobPhase.ACTIVE }
-        .flatMap { it.waitingSteps(nowMillis, it.id in guaranteed) }
-        .sortedWith(waitingOrder(nowMillis))
-        .forEach(planner::consider)
+    input.orderedSteps(input.jobs, guaranteed, nowMillis).forEach(planner::consider)
     return WorkPlan(planner.assignments, planner.preemptedFor)
 }
 
+/** Returns the waiting steps of [jobs] in the order in which they are placed. */
+internal fun PlanningInput.orderedSteps(
+    jobs: Collection<JobRecord>,
+    guaranteed: Set<String>,
+    nowMillis: Long,
+): List<WaitingStep> {
+    val steps = jobs.filter { it.phase == JobPhase.ACTIVE }.flatMap { it.waitingSteps(nowMillis, it.id in guaranteed) }
+    val standings = HashMap<WaitingStep, JobStanding>()
+    val standing = { step: WaitingStep -> standings.getOrPut(step) { step.standing(nowMillis) } }
+    val byObjective = steps.sortedWith(waitingOrder(standing, rank = { 0 }))
+    val ranks = accountRanks(byObjective)
+    if (ranks.values.none { it > 0 }) return byObjective
+    return byObjective.sortedWith(waitingOrder(standing, rank = { ranks.getValue(it) }))
+}
+
 /**
  * Orders the waiting steps.
  *
@@ -47,26 +58,27 @@
  * come first, those within a guarantee before the others. Among jobs of one priority, those that can still meet their
  * objective come first, the earliest objective first. Then come the late ones, the shortest first, since each late
  * answer is worth about the same, and last those whose answer is of no use any more, in the order of their acceptance.
+ * Among jobs of one priority and standing, those with the lowest [rank] of their account come first.
  */
-private fun waitingOrder(nowMillis: Long): Comparator<WaitingStep> {
-    val standings = HashMap<WaitingStep, JobStanding>()
-    val standing = { step: WaitingStep -> standings.getOrPut(step) { step.standing(nowMillis) } }
-    return compareBy(
-        { it.priority != URGENT },
-        { standing(it) == JobStanding.OVERDUE },
-        { it.priority },
-        { !it.guaranteed },
-        { standing(it) },
-        { step ->
-            when (standing(step)) {
-                JobStanding.ON_TIME -> step.job.objectiveMillis(step.id.occurrence)
-                JobStanding.LATE -> step.job.criticalPathMillis()
-                JobStanding.OVERDUE -> step.job.beginMillis(step.id.occurrence)
-            }
-        },
-        { it.id.toString() },
-    )
-}
+private fun waitingOrder(
+    standing: (WaitingStep) -> JobStanding,
+    rank: (WaitingStep) -> Int,
+): Comparator<WaitingStep> = compareBy(
+    { it.priority != URGENT },
+    { standing(it) == JobStanding.OVERDUE },
+    { it.priority },
+    { !it.guaranteed },
+    { standing(it) },
+    { rank(it) },
+    { step ->
+        when (standing(step)) {
+            JobStanding.ON_TIME -> step.job.objectiveMillis(step.id.occurrence)
+            JobStanding.LATE -> step.job.criticalPathMillis()
+            JobStanding.OVERDUE -> step.job.beginMillis(step.id.occurrence)
+        }
+    },
+    { it.id.toString() },
+)
 
 /** Returns the steps of due occurrences with tasks to start; a gang only if all of its tasks are waiting. */
 internal fun JobRecord.waitingSteps(nowMillis: Long, guaranteed: Boolean = false): List<WaitingStep> =
