Admit jobs by a forecast of room, with a replicated return schedule

Cause: the forecast was the shortest possible wait of a fleet without fragmentation, so almost nothing was refused while a sixth of the jobs failed, and callers that were refused were forgotten with each change of leader. Change: with admission-forecast, RoomForecast replays the expected ends of running tasks and places the waiting steps in the planner's order on single workers; a job without room now that is forecast to end after two objectives is refused. Its time of return is stored with the refusal (ReturnSlot, at most 1,000) and stays the same until then. Decisions on submissions move from Coordinator.retryAfterMillis to Coordinator.decideSubmission; AdmissionForecastTest calls that and asserts the same. Without the feature, the decisions are as before.

--- a/core/src/main/kotlin/org/auburnlever/workload/Coordinator.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/Coordinator.kt
@@ -1,13 +1,9 @@
 package org.auburnlever.workload
 
-import com.github.michaelbull.result.get
-import org.auburnlever.workload.admission.AdmissionForecast
-import org.auburnlever.workload.admission.backlogAfter
-import org.auburnlever.workload.learning.DeclaredDurations
+import org.auburnlever.workload.admission.LeaderAdmission
 import org.auburnlever.workload.planning.PlanningInput
 import org.auburnlever.workload.planning.RunProgress
 import org.auburnlever.workload.planning.UrgentDemand
-import org.auburnlever.workload.planning.guaranteedJobs
 import org.auburnlever.workload.planning.planWork
 import org.auburnlever.workload.runs.LeaderState
 import org.auburnlever.workload.runs.OrderAnswer
@@ -30,17 +26,13 @@
 import org.auburnlever.workload.runs.stop
 import org.auburnlever.workload.runs.stopUnwantedRuns
 import org.auburnlever.workload.runs.updateReachability
-import org.auburnlever.workload.sharing.AccountOrder
-import org.auburnlever.workload.sharing.AccountShares
-import org.auburnlever.workload.sharing.logAccountShares
+import org.auburnlever.workload.sharing.LeaderShares
 import org.auburnlever.workload.state.JobAddress
 import org.auburnlever.workload.state.JobSpec
 import org.auburnlever.workload.state.WorkloadCommand
 import org.auburnlever.workload.state.WorkloadReply
 import org.auburnlever.workload.state.WorkloadState
-import org.auburnlever.workload.state.admit
 import org.auburnlever.workload.state.guarantees
-import org.auburnlever.workload.state.newJob
 
 /**
  * Makes the leader's scheduling decisions: which workers may get work, which tasks start and stop, which runs ended.
@@ -57,12 +49,11 @@
 ) {
     private val leader = LeaderState(term, electedMillis, limits)
     private var demand = UrgentDemand()
-    private var forecast = AdmissionForecast()
+    private val admission = LeaderAdmission(features)
 
     // Until then, workers may be unknown only because their reports have not come yet.
     private val forecastFromMillis = electedMillis + limits.reportMillis * REPORTS_UNTIL_FORECAST
-    private var shares: AccountShares? = null
-    private var sharesMillis = 0L
+    private val shares = LeaderShares(features)
     private var assigning = false
     private var nextPlanMillis = electedMillis + limits.reportMillis / 2
     private var lastPlanMillis = 0L
@@ -117,8 +108,11 @@
                     logDecision("starts_withheld", "${runs.size}", "confirmedAgoMillis" to nowMillis - confirmedMillis)
                 }
             }
-            is ProposalTag.Ends ->
-                handleEndsRecorded(state, tag, (reply as? WorkloadReply.Recorded)?.endedJobs.orEmpty())
+            is ProposalTag.Ends -> {
+                val endedJobs = (reply as? WorkloadReply.Recorded)?.endedJobs.orEmpty()
+                handleEndsRecorded(state, tag, endedJobs)
+                endedJobs.forEach { admission.ended(it, nowMillis) }
+            }
             ProposalTag.Housekeeping -> Unit
         }
         onChange(nowMillis)
@@ -134,20 +128,13 @@
         nextPlanMillis = nowMillis + PLAN_INTERVAL_MILLIS
     }
 
-    /**
-     * Returns after how many milliseconds a caller should submit the job [spec] again, or null if it is to be accepted.
-     *
-     * The answer is a forecast; whether the job is turned away is decided when its command is applied.
-     */
-    fun retryAfterMillis(state: WorkloadState, address: JobAddress, spec: JobSpec, nowMillis: Long): Long? {
-        val job = state.admit(address).get()?.let { state.copy(nowMillis = nowMillis).newJob(it, spec) } ?: return null
-        val guaranteed = job.id in guaranteedJobs(state.jobs.values + job, state.guarantees())
-        val retryAfterMillis = forecast.retryAfterMillis(job, guaranteed)
-        if (retryAfterMillis != null && job.id !in state.jobs) {
-            forecast = forecast.turnedAway(job, nowMillis + retryAfterMillis)
-        }
-        return retryAfterMillis
-    }
+    /** Returns how the submission of the job [spec] is to be decided, by a forecast; the log decides whether it is. */
+    fun decideSubmission(
+        state: WorkloadState,
+        address: JobAddress,
+        spec: JobSpec,
+        nowMillis: Long,
+    ): SubmissionDecision = admission.decide(state, address, spec, nowMillis)
 
     /** Schedules a plan after a change of jobs or of the catalog; changes in quick succession share one plan. */
     fun onChange(nowMillis: Long) {
@@ -175,7 +162,8 @@
             nextSummaryMillis = nowMillis + SUMMARY_INTERVAL_MILLIS
             logUnresolvedRuns(unresolvedSinceMillis = nowMillis - SUMMARY_INTERVAL_MILLIS, nowMillis)
             logFleetSummary(state, demand.reserve(state.jobs.values), nowMillis)
-            shares?.let { logAccountShares(it) }
+            shares.logTo(this)
+            admission.logTo(this)
         }
         if (nowMillis >= nextForgetMillis) {
             nextForgetMillis = nowMillis + FORGET_INTERVAL_MILLIS
@@ -200,12 +188,10 @@
             urgentReserve = demand.reserve(jobs),
             limits = limits,
             features = features,
-            accountOrder = accountOrder(state, nowMillis),
+            accountOrder = shares.order(state, workers.values, nowMillis),
         )
         val plan = planWork(input, nowMillis)
-        if (nowMillis >= forecastFromMillis) {
-            forecast = forecast.updated(backlogAfter(plan, input, workers.values, nowMillis), nowMillis)
-        }
+        if (nowMillis >= forecastFromMillis) admission.planned(state, input, plan, workers.values, nowMillis)
         plan.preemptedFor.forEach { (run, step) ->
             logDecision("task_displaced", run.toString(), "for" to step)
             runs[run]?.let { stop(run, it, nowMillis) }
@@ -216,16 +202,6 @@
         }
     }
 
-    private fun LeaderState.accountOrder(state: WorkloadState, nowMillis: Long): AccountOrder {
-        if (SchedulingFeature.FAIR_SHARING !in features) return AccountOrder.EQUAL
-        val known = shares
-        if (known != null && nowMillis - sharesMillis < SHARES_INTERVAL_MILLIS) return known
-        sharesMillis = nowMillis
-        val jobs = state.jobs.values
-        return AccountShares.of(jobs, workers.values, state.guarantees(), DeclaredDurations, nowMillis)
-            .also { shares = it }
-    }
-
     private fun isConfirmed(confirmedMillis: Long, nowMillis: Long): Boolean =
         nowMillis - confirmedMillis <= CONFIRMATION_LIMIT_MILLIS
 
@@ -236,9 +212,6 @@
         /** Starts wait for a commit of about 50 ms, so jobs within half of that lose nothing by sharing a plan. */
         const val MIN_PLAN_GAP_MILLIS = 25L
 
-        /** Shares change over seconds; computing them reads all tasks of the last minute. */
-        const val SHARES_INTERVAL_MILLIS = 200L
-
         /** One election timeout: without a confirmation for this long, another leader may have been elected. */
         const val CONFIRMATION_LIMIT_MILLIS = 1_000L
 
--- a/core/src/main/kotlin/org/auburnlever/workload/admission/AdmissionForecast.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/admission/AdmissionForecast.kt
@@ -43,6 +43,7 @@
         val work = job.spec.steps.sumOf { backlogs[job.service]?.workerMillis(it) ?: 0 }
         return copy(returning = returning + ReturningJob(job.service, returnMillis, work))
     }
-
-    private fun JobRecord.canBeTurnedAway(): Boolean = spec.repetitions == 0 && spec.steps.none { it.longRunning }
 }
+
+/** Whether the job runs once, without delay, and ends by itself. */
+internal fun JobRecord.canBeTurnedAway(): Boolean = spec.repetitions == 0 && spec.steps.none { it.longRunning }
--- a/core/src/main/kotlin/org/auburnlever/workload/admission/ServiceBacklog.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/admission/ServiceBacklog.kt
@@ -64,7 +64,7 @@
     }
 }
 
-private fun Resources.occupiedMillis(step: StepSpec, taskCount: Int): Long =
+internal fun Resources.occupiedMillis(step: StepSpec, taskCount: Int): Long =
     (taskCount * step.estimatedMillis * shareOf(step.reserved)).toLong()
 
 /** Returns the part of this amount that [need] takes of the resource of which it takes most, at most 1. */
--- a/core/src/main/kotlin/org/auburnlever/workload/planning/AccountRanks.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/planning/AccountRanks.kt
@@ -8,8 +8,8 @@
 /**
  * Returns the rank of each of [steps], which are in the order of their priority, standing and objective.
  *
- * Each step counts as started for those of its account that follow it. Otherwise all jobs of a burst would have the rank
- * of the first one and be placed by the same plan. Without [SchedulingFeature.FAIR_SHARING], all ranks are equal.
+ * Each step counts as started for those of its account that follow it. Otherwise all jobs of a burst would have the
+ * rank of the first one and be placed by the same plan. Without [SchedulingFeature.FAIR_SHARING], all ranks are equal.
  */
 internal fun PlanningInput.accountRanks(steps: List<WaitingStep>): Map<WaitingStep, Int> {
     if (SchedulingFeature.FAIR_SHARING !in features) return emptyMap()
--- a/core/src/main/kotlin/org/auburnlever/workload/sharing/AccountShares.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/sharing/AccountShares.kt
@@ -69,7 +69,8 @@
             val capacity = fleetCapacity(jobs, workers)
             // Accounts whose jobs have just ended still count, or a burst would regain a large share before all others
             // have had theirs.
-            val active = jobs.filter { it.phase == JobPhase.ACTIVE || nowMillis - it.endedMillis <= SHARE_WINDOW_MILLIS }
+            val active = jobs
+                .filter { it.phase == JobPhase.ACTIVE || nowMillis - it.endedMillis <= SHARE_WINDOW_MILLIS }
                 .mapTo(HashSet()) { it.account }
             val guaranteed = { account: AccountName? ->
                 (guarantees[account] ?: 0).toDouble() / maxOf(capacity.accelerators, 1)
@@ -84,17 +85,14 @@
         }
 
         /**
-         * A new leader has not heard from all workers yet. Workers with assigned tasks count as well, so that the shares
-         * do not change with each report after an election.
+         * A new leader has not heard from all workers yet. Workers with assigned tasks count as well, so that the
+         * shares do not change with each report after an election.
          */
         private fun fleetCapacity(jobs: Collection<JobRecord>, workers: Collection<WorkerView>): Resources {
             val reports = workers.filterNot { it.departed }.mapNotNull { it.report }
             val reported = reports.fold(Resources.NONE) { sum, report -> sum + report.capacity }
             val known = reports.mapTo(HashSet()) { it.ref.id }
-            val silent = HashSet<String>()
-            for (job in jobs) {
-                for ((_, task) in job.assigned()) task.worker?.id?.let { if (it !in known) silent += it }
-            }
+            val silent = jobs.flatMap { it.assigned() }.mapNotNullTo(HashSet()) { (_, task) -> task.worker?.id } - known
             if (reports.isEmpty()) return Resources(1, 1, 1)
             val count = (reports.size + silent.size).toLong()
             return Resources(
--- a/core/src/main/kotlin/org/auburnlever/workload/sharing/AccountUse.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/sharing/AccountUse.kt
@@ -1,6 +1,5 @@
 package org.auburnlever.workload.sharing
 
-import kotlin.math.exp
 import org.auburnlever.model.AccountName
 import org.auburnlever.workload.learning.DurationForecast
 import org.auburnlever.workload.state.JobPhase
@@ -8,18 +7,19 @@
 import org.auburnlever.workload.state.StepRecord
 import org.auburnlever.workload.state.TaskPhase
 import org.auburnlever.workload.state.TaskRecord
+import kotlin.math.exp
 
 /**
  * Time constant with which past use is forgotten.
  *
- * It is the middle of the callers' objectives, which are 4 s for urgent jobs and about 20 s for the others. A burst that
- * competes with nine accounts takes up to 1.5 s of the whole fleet before it is deferred.
+ * It is the middle of the callers' objectives, which are 4 s for urgent jobs and about 20 s for the others. A burst
+ * that competes with nine accounts takes up to 1.5 s of the whole fleet before it is deferred.
  */
 internal const val SHARE_WINDOW_MILLIS = 10_000L
 
 /**
- * Longest time for which work counts in advance: half of the window, which [AccountShares.TOLERANCE] allows for. Without
- * this limit, a long task would count for more than the whole window in which it is judged.
+ * Longest time for which work counts in advance: half of the window, which [AccountShares.TOLERANCE] allows for.
+ * Without this limit, a long task would count for more than the whole window in which it is judged.
  */
 internal const val MAX_ADVANCE_MILLIS = SHARE_WINDOW_MILLIS / 2
 
@@ -30,8 +30,8 @@
  * Returns the use of each account that has run work lately or has an active job, weighted by age.
  *
  * It is derived from the replicated [jobs] only, so a new leader computes the same. A running task counts with its
- * expected duration, at most [MAX_ADVANCE_MILLIS] ahead, so that a burst counts as soon as it has taken room. A run that was stopped for
- * other work does not count, since the account gained nothing from it.
+ * expected duration, at most [MAX_ADVANCE_MILLIS] ahead, so that a burst counts as soon as it has taken room. A run
+ * that was stopped for other work does not count, since the account gained nothing from it.
  */
 internal fun accountUse(
     jobs: Collection<JobRecord>,
--- a/core/src/main/kotlin/org/auburnlever/workload/state/ApplyWorkload.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/state/ApplyWorkload.kt
@@ -42,8 +42,11 @@
                 AppliedWorkload(this, WorkloadReply.NotAdmitted(Inadmissible.NO_JOB))
             admitted.queue.policy.needsAdvice ->
                 AppliedWorkload(this, WorkloadReply.NotAdmitted(Inadmissible.NEEDS_ADVICE))
-            command.turnAway -> AppliedWorkload(this, WorkloadReply.NotAdmitted(Inadmissible.OVERLOADED))
-            else -> AppliedWorkload(with(newJob(admitted, command.spec)), WorkloadReply.Done)
+            command.turnAway -> turnAway(admitted.relativePath, command.returnSlot)
+            else -> {
+                val returned = copy(returns = returns.remove(admitted.relativePath))
+                AppliedWorkload(returned.with(newJob(admitted, command.spec)), WorkloadReply.Done)
+            }
         }
     },
     { AppliedWorkload(this, WorkloadReply.NotAdmitted(it)) },
@@ -76,5 +79,5 @@
     val kept = jobs.filterValues {
         it.phase == JobPhase.ACTIVE || it.endedMillis >= command.endedBeforeMillis || it.assigned().isNotEmpty()
     }
-    return copy(jobs = kept.toPersistentMap())
+    return copy(jobs = kept.toPersistentMap(), returns = returns.expected(nowMillis))
 }
--- a/core/src/main/kotlin/org/auburnlever/workload/state/WorkloadCommand.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/state/WorkloadCommand.kt
@@ -15,11 +15,16 @@
      * Stores a job that was submitted to [address]; a job whose id is stored already changes nothing.
      *
      * With [turnAway], the job is refused if it is not stored yet. Only the log tells whether an earlier attempt was
-     * accepted, so the leader can't refuse a job without a command.
+     * accepted, so the leader can't refuse a job without a command. The caller is then expected back at [returnSlot].
      */
     @Serializable
     @SerialName("accept_job")
-    data class AcceptJob(val address: JobAddress, val spec: JobSpec, val turnAway: Boolean = false) : WorkloadCommand
+    data class AcceptJob(
+        val address: JobAddress,
+        val spec: JobSpec,
+        val turnAway: Boolean = false,
+        val returnSlot: ReturnSlot? = null,
+    ) : WorkloadCommand
 
     /** Cancels a job. */
     @Serializable
@@ -101,10 +106,10 @@
     @SerialName("recorded")
     data class Recorded(val endedJobs: List<String>) : WorkloadReply
 
-    /** The call was not admitted and had no effect. */
+    /** The call was not admitted and had no effect; a job that was turned away is expected back at [returnMillis]. */
     @Serializable
     @SerialName("not_admitted")
-    data class NotAdmitted(val reason: Inadmissible) : WorkloadReply
+    data class NotAdmitted(val reason: Inadmissible, val returnMillis: Long? = null) : WorkloadReply
 }
 
 /** Why a client's call is not admitted. */
--- a/core/src/main/kotlin/org/auburnlever/workload/state/WorkloadState.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/state/WorkloadState.kt
@@ -11,6 +11,7 @@
  * @property catalog the active catalog; null before the first
  * @property document the source text of the catalog as the operator sent it, for reading back
  * @property nowMillis time of the newest command; never decreases
+ * @property returns when jobs that were turned away are expected back, by job id
  */
 @Serializable
 data class WorkloadState(
@@ -19,6 +20,8 @@
     @Serializable(PersistentMapSerializer::class)
     val jobs: PersistentMap<String, JobRecord> = persistentMapOf(),
     val nowMillis: Long = 0,
+    @Serializable(PersistentMapSerializer::class)
+    val returns: PersistentMap<String, ReturnSlot> = persistentMapOf(),
 ) {
     /** Returns the task [id], or null if its job is not stored or has no such task. */
     fun task(id: TaskId): TaskRecord? = jobs[id.job]?.task(id)
--- a/core/src/test/kotlin/org/auburnlever/workload/ReplayFleet.kt
+++ b/core/src/test/kotlin/org/auburnlever/workload/ReplayFleet.kt
@@ -1,6 +1,9 @@
 package org.auburnlever.workload
 
+import com.github.michaelbull.result.get
 import org.auburnlever.model.AccountName
+import org.auburnlever.workload.admission.AdmissionControl
+import org.auburnlever.workload.admission.RoomForecast
 import org.auburnlever.workload.learning.DeclaredDurations
 import org.auburnlever.workload.planning.PlanningInput
 import org.auburnlever.workload.planning.planWork
@@ -9,13 +12,17 @@
 import org.auburnlever.workload.state.Account
 import org.auburnlever.workload.state.EndKind
 import org.auburnlever.workload.state.JobPhase
+import org.auburnlever.workload.state.JobRecord
 import org.auburnlever.workload.state.JobSpec
 import org.auburnlever.workload.state.Queue
 import org.auburnlever.workload.state.RunEnd
 import org.auburnlever.workload.state.StepSpec
 import org.auburnlever.workload.state.TaskRun
 import org.auburnlever.workload.state.WorkloadCommand
+import org.auburnlever.workload.state.WorkloadReply
+import org.auburnlever.workload.state.admit
 import org.auburnlever.workload.state.guarantees
+import org.auburnlever.workload.state.newJob
 
 /** Plays plans, starts and ends of a fleet in virtual time, without a network. */
 internal class ReplayFleet(
@@ -65,14 +72,42 @@
         }
     }
 
+    /** Makes the next plan without recording it, and forecasts from it. */
+    fun forecast(): RoomForecast =
+        RoomForecast(input(), planWork(input(), workload.nowMillis), views(), workload.nowMillis)
+
+    fun newJob(id: String, account: String, queue: String, spec: StepSpec): JobRecord =
+        checkNotNull(workload.state.admit(address(queue, id, account)).get())
+            .let { workload.state.copy(nowMillis = workload.nowMillis).newJob(it, JobSpec("", listOf(spec))) }
+
+    /** Submits a job and returns when it is forecast to end; a job that is turned away is not stored. */
+    fun submitIfInTime(
+        account: String,
+        queue: String,
+        spec: StepSpec,
+        id: String = "%016x".format(nextId++),
+    ): Submitted {
+        val job = newJob(id, account, queue, spec)
+        val control = AdmissionControl(DeclaredDurations)
+        val decision = control.decide(job, forecast(), emptyList(), workload.state.returns, workload.nowMillis)
+        val slot = decision.slot
+        val command = WorkloadCommand.AcceptJob(address(queue, id, account), job.spec, slot != null, slot)
+        return Submitted(id, decision.endMillis, workload.apply(command))
+    }
+
+    class Submitted(val id: String, val forecastEndMillis: Long, val reply: WorkloadReply) {
+        val accepted: Boolean get() = reply == WorkloadReply.Done
+    }
+
+    private fun input() = PlanningInput(
+        jobs = workload.state.jobs.values,
+        workers = views(),
+        features = features,
+        accountOrder = shares(),
+    )
+
     private fun plan() {
-        val input = PlanningInput(
-            jobs = workload.state.jobs.values,
-            workers = views(),
-            features = features,
-            accountOrder = shares(),
-        )
-        val assignments = planWork(input, workload.nowMillis).assignments
+        val assignments = planWork(input(), workload.nowMillis).assignments
         workload.apply(WorkloadCommand.Assign(assignments))
         for (assignment in assignments) {
             val spec = workload.job(assignment.step.job).spec.steps[assignment.step.step]
--- a/core/src/test/kotlin/org/auburnlever/workload/admission/AdmissionForecastTest.kt
+++ b/core/src/test/kotlin/org/auburnlever/workload/admission/AdmissionForecastTest.kt
@@ -1,10 +1,5 @@
 package org.auburnlever.workload.admission
 
-import kotlin.test.Test
-import kotlin.test.assertEquals
-import kotlin.test.assertNotNull
-import kotlin.test.assertNull
-import kotlin.test.assertTrue
 import org.auburnlever.workload.Coordinator
 import org.auburnlever.workload.Workload
 import org.auburnlever.workload.WorkloadLimits
@@ -16,6 +11,11 @@
 import org.auburnlever.workload.state.WorkloadReply
 import org.auburnlever.workload.state.apply
 import org.auburnlever.workload.step
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertNotNull
+import kotlin.test.assertNull
+import kotlin.test.assertTrue
 
 private const val JOB = "00000000000000a1"
 
@@ -39,7 +39,7 @@
     }
 
     private fun retryAfterMillis(queue: String, id: String = JOB, spec: JobSpec = this.spec): Long? =
-        coordinator.retryAfterMillis(workload.state, address(queue, id), spec, workload.nowMillis)
+        coordinator.decideSubmission(workload.state, address(queue, id), spec, workload.nowMillis).retryAfterMillis
 
     /** Guards against refusing work that the fleet can do in time. */
     @Test
--- a/core/src/test/kotlin/org/auburnlever/workload/sharing/FairSharingTest.kt
+++ b/core/src/test/kotlin/org/auburnlever/workload/sharing/FairSharingTest.kt
@@ -1,16 +1,16 @@
 package org.auburnlever.workload.sharing
 
-import kotlin.system.measureNanoTime
-import kotlin.test.Test
-import kotlin.test.assertEquals
-import kotlin.test.assertTrue
 import org.auburnlever.model.AccountName
 import org.auburnlever.workload.ReplayFleet
 import org.auburnlever.workload.SchedulingFeature
 import org.auburnlever.workload.address
 import org.auburnlever.workload.learning.DeclaredDurations
-import org.auburnlever.workload.step
 import org.auburnlever.workload.state.WorkloadCommand
+import org.auburnlever.workload.step
+import kotlin.system.measureNanoTime
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
 
 /** Replays accounts that compete for four workers of 8 accelerators. */
 class FairSharingTest {
@@ -81,7 +81,9 @@
         ids.forEach { fleet.workload.apply(WorkloadCommand.CancelJob(address("routine", it, "large"))) }
         assertTrue(fleet.shares().rank(AccountName("large")) > 0)
 
-        waiting.forEach { (account, id) -> fleet.workload.apply(WorkloadCommand.CancelJob(address("routine", id, account))) }
+        waiting.forEach { (account, id) ->
+            fleet.workload.apply(WorkloadCommand.CancelJob(address("routine", id, account)))
+        }
         assertTrue(small.all { fleet.shares().usedPart(AccountName(it)) == 0.0 })
     }
 
@@ -101,7 +103,8 @@
             state.nowMillis,
         )
 
-        assertEquals(before.usedPart(AccountName("large")), after.usedPart(AccountName("large")), absoluteTolerance = 0.01)
+        val large = AccountName("large")
+        assertEquals(before.usedPart(large), after.usedPart(large), absoluteTolerance = 0.01)
     }
 
     /** Guards against a computation that costs a leader on a small machine more than its plans. */
--- a/node/src/main/kotlin/org/auburnlever/fleet/FleetCallHandler.kt
+++ b/node/src/main/kotlin/org/auburnlever/fleet/FleetCallHandler.kt
@@ -39,15 +39,15 @@
     private suspend fun submitJob(call: FleetCall.SubmitJob): Submission<FleetAnswer> {
         var retryAfterMillis: Long? = null
         val result = leader.submit { coordinator ->
-            val state = runner.view.state
-            retryAfterMillis = coordinator?.retryAfterMillis(state, call.address, call.spec, clock.nowMillis())
-            WorkloadCommand.AcceptJob(call.address, call.spec, turnAway = retryAfterMillis != null)
+            val decision = coordinator?.decideSubmission(runner.view.state, call.address, call.spec, clock.nowMillis())
+            retryAfterMillis = decision?.retryAfterMillis
+            decision?.command ?: WorkloadCommand.AcceptJob(call.address, call.spec)
         }
         logOutcome("job_submitted", call.address.path.substringAfterLast('/'), result)
         val answer = result.toAnswer()
         val refusal = (answer as? Submission.Applied)?.reply as? FleetAnswer.NotAdmitted
         return if (refusal?.reason == Inadmissible.OVERLOADED) {
-            Submission.Applied(refusal.copy(retryAfterMillis = retryAfterMillis))
+            Submission.Applied(refusal.copy(retryAfterMillis = refusal.retryAfterMillis ?: retryAfterMillis))
         } else {
             answer
         }
@@ -76,7 +76,8 @@
     private fun FleetCall.ChangeCatalog.toCommand() = WorkloadCommand.ChangeCatalog(catalog, document)
 
     private fun WorkloadReply.toAnswer(): FleetAnswer = when (this) {
-        is WorkloadReply.NotAdmitted -> FleetAnswer.NotAdmitted(reason)
+        is WorkloadReply.NotAdmitted ->
+            FleetAnswer.NotAdmitted(reason, returnMillis?.let { maxOf(0, it - clock.nowMillis()) })
         WorkloadReply.Done, is WorkloadReply.Assigned, is WorkloadReply.Recorded -> FleetAnswer.Done
     }
 
