Learn durations of tasks and speeds of workers from ended runs

Cause: plans trust estimatedMillis, which is off by up to 90% in some queues, and take all workers as equally fast. Change: RecordEnds keeps a bounded, decayed record of durations by queue and account and of worker speeds in the replicated state. With the feature learned-durations, standing, objective, order, patience, remaining time, backlog and admission use a forecast from it, which weighs the declared duration by a regression. The leader marks assignments that are slow because of their racks. Without the feature, the declared durations are used as before.

--- a/core/src/main/kotlin/org/auburnlever/workload/Coordinator.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/Coordinator.kt
@@ -3,6 +3,10 @@
 import com.github.michaelbull.result.get
 import org.auburnlever.workload.admission.AdmissionForecast
 import org.auburnlever.workload.admission.backlogAfter
+import org.auburnlever.workload.learning.declaredFor
+import org.auburnlever.workload.learning.durations
+import org.auburnlever.workload.learning.logLearnedDurations
+import org.auburnlever.workload.learning.markSlowed
 import org.auburnlever.workload.planning.PlanningInput
 import org.auburnlever.workload.planning.RunProgress
 import org.auburnlever.workload.planning.UrgentDemand
@@ -135,10 +139,11 @@
      */
     fun retryAfterMillis(state: WorkloadState, address: JobAddress, spec: JobSpec, nowMillis: Long): Long? {
         val job = state.admit(address).get()?.let { state.copy(nowMillis = nowMillis).newJob(it, spec) } ?: return null
+        val expected = state.durations(features).declaredFor(job)
         val guaranteed = job.id in guaranteedJobs(state.jobs.values + job, state.guarantees())
-        val retryAfterMillis = forecast.retryAfterMillis(job, guaranteed)
+        val retryAfterMillis = forecast.retryAfterMillis(expected, guaranteed)
         if (retryAfterMillis != null && job.id !in state.jobs) {
-            forecast = forecast.turnedAway(job, nowMillis + retryAfterMillis)
+            forecast = forecast.turnedAway(expected, nowMillis + retryAfterMillis)
         }
         return retryAfterMillis
     }
@@ -168,7 +173,8 @@
         if (nowMillis >= nextSummaryMillis) {
             nextSummaryMillis = nowMillis + SUMMARY_INTERVAL_MILLIS
             logUnresolvedRuns(unresolvedSinceMillis = nowMillis - SUMMARY_INTERVAL_MILLIS, nowMillis)
-            logFleetSummary(state, demand.reserve(state.jobs.values), nowMillis)
+            logFleetSummary(state, demand.reserve(state.jobs.values), state.durations(features), nowMillis)
+            logLearnedDurations(state.learned, features)
         }
         if (nowMillis >= nextForgetMillis) {
             nextForgetMillis = nowMillis + FORGET_INTERVAL_MILLIS
@@ -193,6 +199,7 @@
             urgentReserve = demand.reserve(jobs),
             limits = limits,
             features = features,
+            durations = state.durations(features),
         )
         val plan = planWork(input, nowMillis)
         if (nowMillis >= forecastFromMillis) {
@@ -204,7 +211,8 @@
         }
         if (plan.assignments.isNotEmpty()) {
             assigning = true
-            propose(WorkloadCommand.Assign(plan.assignments), ProposalTag.Assign)
+            val assignments = plan.assignments.markSlowed(state) { workers[it]?.report?.rack }
+            propose(WorkloadCommand.Assign(assignments), ProposalTag.Assign)
         }
     }
 
--- a/core/src/main/kotlin/org/auburnlever/workload/FleetSummary.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/FleetSummary.kt
@@ -1,5 +1,6 @@
 package org.auburnlever.workload
 
+import org.auburnlever.workload.learning.DurationForecast
 import org.auburnlever.workload.planning.FleetCapacity
 import org.auburnlever.workload.runs.LeaderState
 import org.auburnlever.workload.state.JobPhase
@@ -10,7 +11,12 @@
  *
  * Logs nothing while no job is active.
  */
-internal fun LeaderState.logFleetSummary(state: WorkloadState, urgentReserve: Int, nowMillis: Long) {
+internal fun LeaderState.logFleetSummary(
+    state: WorkloadState,
+    urgentReserve: Int,
+    durations: DurationForecast,
+    nowMillis: Long,
+) {
     val jobs = state.jobs.values
     val usable = workers.values.filter { it.usable(nowMillis, limits.reportLimitMillis) }
     val fleet = FleetCapacity.of(usable, jobs, nowMillis)
@@ -35,7 +41,7 @@
             "forMillis" to nowMillis - job.acceptedMillis,
             "tasks" to job.spec.steps.first().taskCount,
             "accelerators" to job.spec.steps.first().need.accelerators,
-            "slackMillis" to job.objectiveMillis() - nowMillis - job.criticalPathMillis(),
+            "slackMillis" to durations.objectiveMillis(job) - nowMillis - durations.criticalPathMillis(job),
         )
     }
 }
--- a/core/src/main/kotlin/org/auburnlever/workload/admission/ServiceBacklog.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/admission/ServiceBacklog.kt
@@ -48,7 +48,7 @@
 ): Map<ServiceName, ServiceBacklog> {
     val placed = plan.assignments.groupBy({ it.step }, { it.workers.keys }).mapValues { it.value.flatten().toSet() }
     val waiting = input.jobs.filter { it.phase == JobPhase.ACTIVE }.flatMap { it.waitingSteps(nowMillis) }
-        .filter { it.standing(nowMillis) != JobStanding.OVERDUE }
+        .filter { it.standing(nowMillis, input.durations) != JobStanding.OVERDUE }
         .groupBy { it.job.service }
     val reports = knownWorkers.filterNot { it.departed }
         .mapNotNull { it.report }
@@ -58,7 +58,8 @@
         val largest = ofService.maxByOrNull { it.capacity.weightMilliCores }?.capacity ?: Resources.NONE
         val byPriority = waiting[service].orEmpty().groupBy({ it.priority }) { step ->
             val tasks = step.tasks.count { it !in placed[step.id].orEmpty() }
-            largest.occupiedMillis(step.spec, tasks)
+            val forecastMillis = input.durations.taskMillis(step.job, step.id.step)
+            largest.occupiedMillis(step.spec.copy(estimatedMillis = forecastMillis), tasks)
         }
         ServiceBacklog(ofService.size, largest, byPriority.mapValues { it.value.sum() })
     }
--- a/core/src/main/kotlin/org/auburnlever/workload/planning/JobStanding.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/planning/JobStanding.kt
@@ -1,5 +1,7 @@
 package org.auburnlever.workload.planning
 
+import org.auburnlever.workload.learning.DeclaredDurations
+import org.auburnlever.workload.learning.DurationForecast
 import org.auburnlever.workload.state.JobRecord
 
 /** How a job that is still to run stands against its completion objective. */
@@ -14,19 +16,20 @@
     OVERDUE,
 }
 
-/** Returns how the step would stand if it started now. */
-internal fun WaitingStep.standing(nowMillis: Long): JobStanding {
-    val endMillis = nowMillis + spec.estimatedMillis
-    val objectiveMillis = job.objectiveMillis(id.occurrence)
+/** Returns how the step would stand if it started now and took as long as [durations] says. */
+internal fun WaitingStep.standing(nowMillis: Long, durations: DurationForecast = DeclaredDurations): JobStanding {
+    val endMillis = nowMillis + durations.taskMillis(job, id.step)
+    val objectiveMillis = durations.objectiveMillis(job, id.occurrence)
     return when {
         spec.longRunning || endMillis <= objectiveMillis -> JobStanding.ON_TIME
-        endMillis <= job.beginMillis(id.occurrence) + job.usefulMillis() -> JobStanding.LATE
+        endMillis <= job.beginMillis(id.occurrence) + job.usefulMillis(durations) -> JobStanding.LATE
         else -> JobStanding.OVERDUE
     }
 }
 
 /** Returns the time from a job's begin after which its answer is of no use any more. */
-internal fun JobRecord.usefulMillis(): Long = (objectiveMillis() - beginMillis()) * USELESS_AFTER_OBJECTIVES
+internal fun JobRecord.usefulMillis(durations: DurationForecast = DeclaredDurations): Long =
+    (durations.objectiveMillis(this) - beginMillis()) * USELESS_AFTER_OBJECTIVES
 
 /** Multiple of the objective after which an answer is of no use to the operators' callers. */
 private const val USELESS_AFTER_OBJECTIVES = 3
--- a/core/src/main/kotlin/org/auburnlever/workload/planning/PreemptionRules.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/planning/PreemptionRules.kt
@@ -1,6 +1,7 @@
 package org.auburnlever.workload.planning
 
 import org.auburnlever.workload.WorkloadLimits
+import org.auburnlever.workload.learning.DurationForecast
 
 /**
  * Decides how long an urgent step waits for running work to end, and how much work may be thrown away for it.
@@ -8,7 +9,11 @@
  * Load pattern: a burst of urgent jobs arrives while routine work fills the fleet. Much of that work ends within the
  * time that an urgent job has left, so stopping it would only repeat work.
  */
-internal class PreemptionRules(private val limits: WorkloadLimits, private val nowMillis: Long) {
+internal class PreemptionRules(
+    private val limits: WorkloadLimits,
+    private val nowMillis: Long,
+    private val durations: DurationForecast,
+) {
     /**
      * Returns for how long [step] can wait for running work to end by itself.
      *
@@ -32,14 +37,15 @@
      * More than a multiple of its own work is thrown away only where a guarantee could not be honoured otherwise.
      */
     fun permits(step: WaitingStep, preemption: Preemption): Boolean =
-        preemption.lostMilliCoreMillis <= step.workMilliCoreMillis * MAX_LOST_MULTIPLE || reclaimIsDue(step)
+        preemption.lostMilliCoreMillis <= step.workMilliCoreMillis(durations) * MAX_LOST_MULTIPLE || reclaimIsDue(step)
 
     /** Returns whether [step] must take any workers now to begin within its guarantee, however slow they are for it. */
     fun reclaimIsDue(step: WaitingStep): Boolean =
         step.guaranteed && nowMillis in lastPreemptionMillis(step)..reclaimByMillis(step)
 
     private fun latestStartMillis(step: WaitingStep): Long =
-        step.job.objectiveMillis(step.id.occurrence) - step.spec.estimatedMillis - START_MILLIS
+        durations.objectiveMillis(step.job, step.id.occurrence) -
+            durations.taskMillis(step.job, step.id.step) - START_MILLIS
 
     /** The time until which a preemption certainly makes the step begin within its guarantee. */
     private fun lastPreemptionMillis(step: WaitingStep): Long =
--- a/core/src/main/kotlin/org/auburnlever/workload/planning/PreemptionUnit.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/planning/PreemptionUnit.kt
@@ -95,7 +95,8 @@
 
     private fun JobRecord.remainingMillis(id: TaskId, task: TaskRecord): Long {
         val run = TaskRun(id, task.run)
-        return if (run in input.stopping) 0 else remainingMillis(id, task, input.progress[run], nowMillis)
+        if (run in input.stopping) return 0
+        return remainingMillis(id, task, input.progress[run], nowMillis, input.durations)
     }
 
     /** A stop saves the progress of a task with checkpoints, and a long-running task has none to lose. */
--- a/core/src/main/kotlin/org/auburnlever/workload/planning/WaitingStep.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/planning/WaitingStep.kt
@@ -1,5 +1,6 @@
 package org.auburnlever.workload.planning
 
+import org.auburnlever.workload.learning.DurationForecast
 import org.auburnlever.workload.state.JobRecord
 import org.auburnlever.workload.state.StepId
 import org.auburnlever.workload.state.StepSpec
@@ -24,8 +25,9 @@
     val nextRun: Int
         get() = (job.step(id)?.tasks?.maxOf { it.run } ?: 0) + 1
 
-    /** Work of the waiting tasks by their estimate, in milli-core-milliseconds. */
-    val workMilliCoreMillis: Long get() = tasks.size * spec.reserved.weightMilliCores * spec.estimatedMillis
+    /** Returns the expected work of the waiting tasks in milli-core-milliseconds. */
+    fun workMilliCoreMillis(durations: DurationForecast): Long =
+        tasks.size * spec.reserved.weightMilliCores * durations.taskMillis(job, id.step)
 
     /** Number of assigned tasks of the step by worker id; empty if the number on a worker is not limited. */
     val countsOnWorkers: Map<String, Int> by lazy(LazyThreadSafetyMode.NONE) {
--- a/core/src/main/kotlin/org/auburnlever/workload/planning/WorkPlan.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/planning/WorkPlan.kt
@@ -1,5 +1,6 @@
 package org.auburnlever.workload.planning
 
+import org.auburnlever.workload.learning.DurationForecast
 import org.auburnlever.workload.state.Assignment
 import org.auburnlever.workload.state.JobPhase
 import org.auburnlever.workload.state.JobRecord
@@ -29,13 +30,13 @@
     val planner = WorkPlanner(
         fleet,
         PreemptionPlanner(fleet, PreemptionUnits(input, guaranteed, nowMillis)),
-        PreemptionRules(input.limits, nowMillis),
+        PreemptionRules(input.limits, nowMillis, input.durations),
         reservedForUrgent = fleet.workersToReserve(input.urgentReserve),
     )
     input.jobs.asSequence()
         .filter { it.phase == JobPhase.ACTIVE }
         .flatMap { it.waitingSteps(nowMillis, it.id in guaranteed) }
-        .sortedWith(waitingOrder(nowMillis))
+        .sortedWith(waitingOrder(nowMillis, input.durations))
         .forEach(planner::consider)
     return WorkPlan(planner.assignments, planner.preemptedFor)
 }
@@ -48,9 +49,9 @@
  * objective come first, the earliest objective first. Then come the late ones, the shortest first, since each late
  * answer is worth about the same, and last those whose answer is of no use any more, in the order of their acceptance.
  */
-private fun waitingOrder(nowMillis: Long): Comparator<WaitingStep> {
+private fun waitingOrder(nowMillis: Long, durations: DurationForecast): Comparator<WaitingStep> {
     val standings = HashMap<WaitingStep, JobStanding>()
-    val standing = { step: WaitingStep -> standings.getOrPut(step) { step.standing(nowMillis) } }
+    val standing = { step: WaitingStep -> standings.getOrPut(step) { step.standing(nowMillis, durations) } }
     return compareBy(
         { it.priority != URGENT },
         { standing(it) == JobStanding.OVERDUE },
@@ -59,8 +60,8 @@
         { standing(it) },
         { step ->
             when (standing(step)) {
-                JobStanding.ON_TIME -> step.job.objectiveMillis(step.id.occurrence)
-                JobStanding.LATE -> step.job.criticalPathMillis()
+                JobStanding.ON_TIME -> durations.objectiveMillis(step.job, step.id.occurrence)
+                JobStanding.LATE -> durations.criticalPathMillis(step.job)
                 JobStanding.OVERDUE -> step.job.beginMillis(step.id.occurrence)
             }
         },
--- a/core/src/main/kotlin/org/auburnlever/workload/state/ApplyAssignments.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/state/ApplyAssignments.kt
@@ -38,7 +38,9 @@
         )
         tasks.set(index, assigned)
     }
-    record.copy(tasks = tasks)
+    // A gang starts as a whole, so its earlier runs do not matter any more.
+    val stillSlowed = record.slowed && !spec.steps[assignment.step.step].gang
+    record.copy(tasks = tasks, slowed = assignment.slowed || stillSlowed)
 }.copy(started = true)
 
 /** Returns whether all steps that the step [id] depends on are done in the same occurrence. */
--- a/core/src/main/kotlin/org/auburnlever/workload/state/ApplyEnds.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/state/ApplyEnds.kt
@@ -1,5 +1,8 @@
 package org.auburnlever.workload.state
 
+import org.auburnlever.workload.learning.MAX_MEASURED_RUNS
+import org.auburnlever.workload.learning.measuredRun
+
 /**
  * Records [ends] of the current run of each task and ignores ends of earlier runs.
  *
@@ -10,8 +13,19 @@
     val job = state.jobs[end.run.task.job]
     val task = job?.task(end.run.task)
     val current = task != null && task.run == end.run.run && task.accepts(end.kind)
-    val nowMillis = state.nowMillis
-    if (job != null && current) state.with(job.withEnd(end, nowMillis).endedIfFinished(nowMillis)) else state
+    if (job != null && current) state.withEnd(job, end) else state
+}
+
+/** Records [end] in [job], and what a step that is done with it shows about durations. */
+private fun WorkloadState.withEnd(job: JobRecord, end: RunEnd): WorkloadState {
+    val id = end.run.task.stepId
+    val measured = job.measuredRun(end, nowMillis)
+    val ended = job.withEnd(end, nowMillis)
+    val runs = (ended.step(id)?.measured.orEmpty() + listOfNotNull(measured)).take(MAX_MEASURED_RUNS)
+    if (runs.isEmpty()) return with(ended.endedIfFinished(nowMillis))
+    val done = ended.step(id)?.done ?: false
+    val next = ended.edit(id) { it.copy(measured = if (done) emptyList() else runs) }.endedIfFinished(nowMillis)
+    return if (done) copy(learned = learned.afterStep(job, id.step, runs, nowMillis)).with(next) else with(next)
 }
 
 private fun TaskRecord.accepts(kind: EndKind): Boolean =
--- a/core/src/main/kotlin/org/auburnlever/workload/state/Catalog.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/state/Catalog.kt
@@ -47,7 +47,11 @@
     val stretch: Double,
     val targetLatencyMillis: Long,
     val needsAdvice: Boolean = false,
-)
+) {
+    /** Returns the time from a job's begin to its objective, for a critical path of [criticalPathMillis]. */
+    fun objectiveAfterMillis(criticalPathMillis: Long): Long =
+        targetLatencyMillis + (stretch * criticalPathMillis).toLong()
+}
 
 /** A service, which is a pool of workers. */
 @Serializable
--- a/core/src/main/kotlin/org/auburnlever/workload/state/JobRecord.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/state/JobRecord.kt
@@ -10,6 +10,8 @@
 import org.auburnlever.codec.PersistentMapSerializer
 import org.auburnlever.model.AccountName
 import org.auburnlever.model.ServiceName
+import org.auburnlever.workload.learning.MeasuredRun
+import org.auburnlever.workload.learning.longestChainMillis
 
 /** Identifies a task by job, occurrence, step and index within the step. */
 @Serializable
@@ -89,12 +91,16 @@
  *
  * @property failedRuns number of failed runs; a run of a gang counts once, however many members failed
  * @property newestFailedRun the highest run that was counted
+ * @property slowed whether tasks run slowly because of their racks, as marked by the leader that assigned them
+ * @property measured the complete runs of the step so far; emptied when the step is done
  */
 @Serializable
 data class StepRecord(
     @Serializable(PersistentListSerializer::class) val tasks: PersistentList<TaskRecord>,
     val failedRuns: Int = 0,
     val newestFailedRun: Int = 0,
+    val slowed: Boolean = false,
+    val measured: List<MeasuredRun> = emptyList(),
 ) {
     /** Whether all tasks are done. */
     val done: Boolean get() = tasks.all { it.phase == TaskPhase.DONE }
@@ -145,7 +151,9 @@
             }
         }
     }
-    private val criticalPath by lazy(LazyThreadSafetyMode.PUBLICATION) { spec.criticalPathMillis() }
+    private val criticalPath by lazy(LazyThreadSafetyMode.PUBLICATION) {
+        spec.longestChainMillis { spec.steps[it].estimatedMillis }
+    }
 
     /** Returns the tasks that are assigned to a worker. */
     fun assigned(): List<Pair<TaskId, TaskRecord>> = assignedTasks
@@ -155,16 +163,8 @@
 
     /** Returns the completion objective: the Unix time by which [occurrence] should be done, from its estimates. */
     fun objectiveMillis(occurrence: Int = 0): Long =
-        beginMillis(occurrence) + policy.targetLatencyMillis + (policy.stretch * criticalPathMillis()).toLong()
+        beginMillis(occurrence) + policy.objectiveAfterMillis(criticalPathMillis())
 
     /** Returns the estimated duration of the longest chain of dependent steps. */
     fun criticalPathMillis(): Long = criticalPath
 }
-
-private fun JobSpec.criticalPathMillis(): Long {
-    val ends = ArrayList<Long>()
-    for (step in steps) {
-        ends += step.estimatedMillis + (step.dependsOn.maxOfOrNull { ends.getOrElse(it) { 0L } } ?: 0L)
-    }
-    return ends.maxOrNull() ?: 0L
-}
--- a/core/src/main/kotlin/org/auburnlever/workload/state/WorkloadCommand.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/state/WorkloadCommand.kt
@@ -50,9 +50,18 @@
 @Serializable
 data class JobAddress(val host: String, val path: String, val key: String?)
 
-/** New runs of tasks of one step, all with number [run]; [workers] holds the worker by task index. */
+/**
+ * New runs of tasks of one step, all with number [run]; [workers] holds the worker by task index.
+ *
+ * @property slowed whether the tasks run slowly because of their racks
+ */
 @Serializable
-data class Assignment(val step: StepId, val run: Int, val workers: Map<Int, WorkerRef>)
+data class Assignment(
+    val step: StepId,
+    val run: Int,
+    val workers: Map<Int, WorkerRef>,
+    val slowed: Boolean = false,
+)
 
 /** How a run ended. */
 @Serializable
