--- a/core/src/main/kotlin/org/auburnlever/workload/Coordinator.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/Coordinator.kt
@@ -14,6 +14,9 @@
 import org.auburnlever.workload.interference.handlePaceAnswer
 import org.auburnlever.workload.interference.protectedRuns
 import org.auburnlever.workload.interference.watchedWorkers
+import org.auburnlever.workload.learning.durations
+import org.auburnlever.workload.learning.logLearnedDurations
+import org.auburnlever.workload.learning.markSlowed
 import org.auburnlever.workload.planning.PlanningInput
 import org.auburnlever.workload.planning.UrgentDemand
 import org.auburnlever.workload.planning.planWork
@@ -185,9 +188,11 @@
             nextSummaryMillis = nowMillis + SUMMARY_INTERVAL_MILLIS
             logUnresolvedRuns(unresolvedSinceMillis = nowMillis - SUMMARY_INTERVAL_MILLIS, nowMillis)
             logEvacuations(state, nowMillis)
-            logFleetSummary(state, demand.reserve(state.jobs.values, evacuatedWorkers(state)), nowMillis)
+            val reserve = demand.reserve(state.jobs.values, evacuatedWorkers(state))
+            logFleetSummary(state, reserve, state.durations(features), nowMillis)
             shares.logTo(this)
             admission.logTo(this)
+            logLearnedDurations(state.learned, features)
         }
         if (nowMillis >= nextForgetMillis) {
             nextForgetMillis = nowMillis + FORGET_INTERVAL_MILLIS
@@ -216,6 +221,7 @@
             neighbours = interference.neighbours(state, runs, nowMillis),
             protectedRuns = protectedRuns(state, handlesInterference, nowMillis),
             accountOrder = shares.order(state, workers.values, nowMillis),
+            durations = state.durations(features),
         )
         val plan = planWork(input, nowMillis)
         if (nowMillis >= forecastFromMillis) {
@@ -229,7 +235,8 @@
         moveEvacuatedRuns(state, input, plan, nowMillis)
         if (plan.assignments.isNotEmpty()) {
             assigning = true
-            propose(WorkloadCommand.Assign(plan.assignments), ProposalTag.Assign)
+            val assignments = plan.assignments.markSlowed(state) { workers[it]?.report?.rack }
+            propose(WorkloadCommand.Assign(assignments), ProposalTag.Assign)
         }
     }
 
--- a/core/src/main/kotlin/org/auburnlever/workload/FleetSummary.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/FleetSummary.kt
@@ -2,6 +2,7 @@
 
 import org.auburnlever.workload.evacuation.progress
 import org.auburnlever.workload.evacuation.startingWorkers
+import org.auburnlever.workload.learning.DurationForecast
 import org.auburnlever.workload.planning.FleetCapacity
 import org.auburnlever.workload.runs.LeaderState
 import org.auburnlever.workload.state.JobPhase
@@ -12,7 +13,12 @@
  *
  * Logs nothing while no job is active.
  */
-internal fun LeaderState.logFleetSummary(state: WorkloadState, urgentReserve: Int, nowMillis: Long) {
+internal fun LeaderState.logFleetSummary(
+    state: WorkloadState,
+    urgentReserve: Int,
+    durations: DurationForecast,
+    nowMillis: Long,
+) {
     val jobs = state.jobs.values
     val usable = startingWorkers(state, progress(), nowMillis)
     val fleet = FleetCapacity.of(usable, jobs, nowMillis)
@@ -37,7 +43,7 @@
             "forMillis" to nowMillis - job.acceptedMillis,
             "tasks" to job.spec.steps.first().taskCount,
             "accelerators" to job.spec.steps.first().need.accelerators,
-            "slackMillis" to job.objectiveMillis() - nowMillis - job.criticalPathMillis(),
+            "slackMillis" to durations.objectiveMillis(job) - nowMillis - durations.criticalPathMillis(job),
         )
     }
 }
--- a/core/src/main/kotlin/org/auburnlever/workload/admission/LeaderAdmission.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/admission/LeaderAdmission.kt
@@ -3,7 +3,8 @@
 import com.github.michaelbull.result.get
 import org.auburnlever.workload.SchedulingFeature
 import org.auburnlever.workload.SubmissionDecision
-import org.auburnlever.workload.learning.DeclaredDurations
+import org.auburnlever.workload.learning.declaredFor
+import org.auburnlever.workload.learning.durations
 import org.auburnlever.workload.planning.PlanningInput
 import org.auburnlever.workload.planning.WorkPlan
 import org.auburnlever.workload.planning.guaranteedJobs
@@ -25,7 +26,6 @@
  * It is volatile: a new leader forecasts from its first plans, and finds the return schedule in the replicated state.
  */
 internal class LeaderAdmission(private val features: Set<SchedulingFeature>) {
-    private val control = AdmissionControl(DeclaredDurations)
     private val errors = ForecastErrors()
     private var backlog = AdmissionForecast()
     private var forecast: Lazy<RoomForecast>? = null
@@ -65,9 +65,10 @@
     }
 
     private fun retryAfterMillis(state: WorkloadState, job: JobRecord, nowMillis: Long): Long? {
-        val retryAfterMillis = backlog.retryAfterMillis(job, isGuaranteed(state, job))
+        val expected = state.durations(features).declaredFor(job)
+        val retryAfterMillis = backlog.retryAfterMillis(expected, isGuaranteed(state, job))
         if (retryAfterMillis != null && job.id !in state.jobs) {
-            backlog = backlog.turnedAway(job, nowMillis + retryAfterMillis)
+            backlog = backlog.turnedAway(expected, nowMillis + retryAfterMillis)
         }
         return retryAfterMillis
     }
@@ -77,6 +78,7 @@
         val known = forecast
         val exempt = job.id in state.jobs || !job.canBeTurnedAway() || isGuaranteed(state, job)
         if (known == null || exempt) return null
+        val control = AdmissionControl(state.durations(features))
         val decision = control.decide(job, known.value, accepted.filter { it.id != job.id }, state.returns, nowMillis)
         if (decision.slot == null) {
             errors.expect(job.id, decision.endMillis)
--- a/core/src/main/kotlin/org/auburnlever/workload/evacuation/FreeRoom.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/evacuation/FreeRoom.kt
@@ -66,7 +66,7 @@
             .mapValues { (_, tasks) -> tasks.flatten().toSet() }
         return input.jobs.filter { it.phase == JobPhase.ACTIVE }
             .flatMap { it.waitingSteps(nowMillis) }
-            .filter { step -> step.standing(nowMillis) != JobStanding.OVERDUE }
+            .filter { step -> step.standing(nowMillis, input.durations) != JobStanding.OVERDUE }
             .filter { step -> step.tasks.any { it !in placed[step.id].orEmpty() } }
             .minOfOrNull { it.priority }
     }
--- a/core/src/main/kotlin/org/auburnlever/workload/planning/WorkPlan.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/planning/WorkPlan.kt
@@ -1,5 +1,6 @@
 package org.auburnlever.workload.planning
 
+import org.auburnlever.workload.learning.DurationForecast
 import org.auburnlever.workload.state.Assignment
 import org.auburnlever.workload.state.JobPhase
 import org.auburnlever.workload.state.JobRecord
@@ -29,7 +30,7 @@
     val planner = WorkPlanner(
         fleet,
         PreemptionPlanner(fleet, PreemptionUnits(input, guaranteed, nowMillis)),
-        PreemptionRules(input.limits, nowMillis),
+        PreemptionRules(input.limits, nowMillis, input.durations),
         reservedForUrgent = fleet.workersToReserve(input.urgentReserve),
     )
     input.orderedSteps(input.jobs, guaranteed, nowMillis).forEach(planner::consider)
@@ -44,11 +45,11 @@
 ): List<WaitingStep> {
     val steps = jobs.filter { it.phase == JobPhase.ACTIVE }.flatMap { it.waitingSteps(nowMillis, it.id in guaranteed) }
     val standings = HashMap<WaitingStep, JobStanding>()
-    val standing = { step: WaitingStep -> standings.getOrPut(step) { step.standing(nowMillis) } }
-    val byObjective = steps.sortedWith(waitingOrder(standing, rank = { 0 }))
+    val standing = { step: WaitingStep -> standings.getOrPut(step) { step.standing(nowMillis, durations) } }
+    val byObjective = steps.sortedWith(waitingOrder(standing, rank = { 0 }, durations))
     val ranks = accountRanks(byObjective)
     if (ranks.values.none { it > 0 }) return byObjective
-    return byObjective.sortedWith(waitingOrder(standing, rank = { ranks.getValue(it) }))
+    return byObjective.sortedWith(waitingOrder(standing, rank = { ranks.getValue(it) }, durations))
 }
 
 /**
@@ -63,6 +64,7 @@
 private fun waitingOrder(
     standing: (WaitingStep) -> JobStanding,
     rank: (WaitingStep) -> Int,
+    durations: DurationForecast,
 ): Comparator<WaitingStep> = compareBy(
     { it.priority != URGENT },
     { standing(it) == JobStanding.OVERDUE },
@@ -72,8 +74,8 @@
     { rank(it) },
     { step ->
         when (standing(step)) {
-            JobStanding.ON_TIME -> step.job.objectiveMillis(step.id.occurrence)
-            JobStanding.LATE -> step.job.criticalPathMillis()
+            JobStanding.ON_TIME -> durations.objectiveMillis(step.job, step.id.occurrence)
+            JobStanding.LATE -> durations.criticalPathMillis(step.job)
             JobStanding.OVERDUE -> step.job.beginMillis(step.id.occurrence)
         }
     },
--- a/core/src/main/kotlin/org/auburnlever/workload/sharing/LeaderShares.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/sharing/LeaderShares.kt
@@ -1,7 +1,7 @@
 package org.auburnlever.workload.sharing
 
 import org.auburnlever.workload.SchedulingFeature
-import org.auburnlever.workload.learning.DeclaredDurations
+import org.auburnlever.workload.learning.durations
 import org.auburnlever.workload.runs.LeaderState
 import org.auburnlever.workload.runs.WorkerView
 import org.auburnlever.workload.state.WorkloadState
@@ -19,7 +19,7 @@
         val known = newest
         if (known == null || nowMillis - computedMillis >= INTERVAL_MILLIS) {
             computedMillis = nowMillis
-            newest = AccountShares.of(state.jobs.values, workers, state.guarantees(), DeclaredDurations, nowMillis)
+            newest = AccountShares.of(state.jobs.values, workers, state.guarantees(), state.durations(features), nowMillis)
         }
         return newest ?: AccountOrder.EQUAL
     }
--- a/core/src/main/kotlin/org/auburnlever/workload/state/WorkloadState.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/state/WorkloadState.kt
@@ -6,6 +6,7 @@
 import org.auburnlever.codec.PersistentMapSerializer
 import org.auburnlever.model.DomainName
 import org.auburnlever.workload.evacuation.EndedEvacuation
+import org.auburnlever.workload.learning.LearnedDurations
 
 /**
  * The replicated state of the workload group: the desired state, all jobs and evacuations.
@@ -16,6 +17,7 @@
  * @property evacuations when the evacuation of each evacuated failure domain was ordered
  * @property endedEvacuations the newest withdrawn evacuation of each other failure domain that had one
  * @property returns when jobs that were turned away are expected back, by job id
+ * @property learned what ended runs showed about durations and worker speeds
  */
 @Serializable
 data class WorkloadState(
@@ -30,6 +32,7 @@
     val endedEvacuations: PersistentMap<DomainName, EndedEvacuation> = persistentMapOf(),
     @Serializable(PersistentMapSerializer::class)
     val returns: PersistentMap<String, ReturnSlot> = persistentMapOf(),
+    val learned: LearnedDurations = LearnedDurations(),
 ) {
     /** Returns the task [id], or null if its job is not stored or has no such task. */
     fun task(id: TaskId): TaskRecord? = jobs[id.job]?.task(id)
