--- a/core/src/main/kotlin/org/auburnlever/workload/Coordinator.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/Coordinator.kt
@@ -17,6 +17,7 @@
 import org.auburnlever.workload.learning.durations
 import org.auburnlever.workload.learning.logLearnedDurations
 import org.auburnlever.workload.learning.markSlowed
+import org.auburnlever.workload.placement.leavingPercent
 import org.auburnlever.workload.planning.PlanningInput
 import org.auburnlever.workload.planning.UrgentDemand
 import org.auburnlever.workload.planning.planWork
@@ -222,6 +223,7 @@
             protectedRuns = protectedRuns(state, handlesInterference, nowMillis),
             accountOrder = shares.order(state, workers.values, nowMillis),
             durations = state.durations(features),
+            leavingPercent = leavingPercent(workers.values, nowMillis),
         )
         val plan = planWork(input, nowMillis)
         if (nowMillis >= forecastFromMillis) {
--- a/core/src/main/kotlin/org/auburnlever/workload/planning/PlanningInput.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/planning/PlanningInput.kt
@@ -1,6 +1,7 @@
 package org.auburnlever.workload.planning
 
 import org.auburnlever.model.AccountName
+import org.auburnlever.model.DomainName
 import org.auburnlever.workload.SchedulingFeature
 import org.auburnlever.workload.WorkloadLimits
 import org.auburnlever.workload.interference.NeighbourEvidence
@@ -25,6 +26,7 @@
  * @property accountOrder rank of each account within a priority
  * @property neighbours tasks that slow each other down on one worker
  * @property protectedRuns runs that must not be stopped for other work
+ * @property leavingPercent share of the workers of each failure domain that are leaving; 0 if a domain is absent
  */
 data class PlanningInput(
     val jobs: Collection<JobRecord>,
@@ -39,4 +41,5 @@
     val accountOrder: AccountOrder = AccountOrder.EQUAL,
     val neighbours: NeighbourEvidence = NeighbourEvidence.NONE,
     val protectedRuns: Set<TaskRun> = emptySet(),
+    val leavingPercent: Map<DomainName, Int> = emptyMap(),
 )
--- a/core/src/main/kotlin/org/auburnlever/workload/planning/WorkPlan.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/planning/WorkPlan.kt
@@ -1,6 +1,7 @@
 package org.auburnlever.workload.planning
 
 import org.auburnlever.workload.learning.DurationForecast
+import org.auburnlever.workload.placement.ScarcePlacement
 import org.auburnlever.workload.state.Assignment
 import org.auburnlever.workload.state.JobPhase
 import org.auburnlever.workload.state.JobRecord
@@ -32,6 +33,7 @@
         PreemptionPlanner(fleet, PreemptionUnits(input, guaranteed, nowMillis)),
         PreemptionRules(input.limits, nowMillis, input.durations),
         reservedForUrgent = fleet.workersToReserve(input.urgentReserve),
+        scarcity = ScarcePlacement.of(fleet, input, nowMillis),
     )
     input.orderedSteps(input.jobs, guaranteed, nowMillis).forEach(planner::consider)
     return WorkPlan(planner.assignments, planner.preemptedFor)
