Find a new leader together and hold calls while there is none

Cause: while no control host led, each waiting call asked all hosts in turn for 1 s and then got a refusal, or an unknown outcome after its deadline, also when its frame had never been written to a connection.

Change, with the feature leaderless-admission: an entry host keeps the last sign of each control host, one waiting call at a time asks who leads, and a job that has not been tried waits as long as it can still end within its objective. Refused jobs get a Retry-After that is spread by slack and by a hash of the path. A call to a frozen leader is sent to the next one as soon as another host names it. A plan's commit assigns at most 256 tasks, always whole steps.

Change for all deployments: a frame that is still queued when its call ends is withdrawn and counts as not sent. not_leader and fleet_members carry the term. leadership_ready and leadership_first_start are logged. A tick without a change of jobs or proposed ends skips the comparison of all runs with all jobs.

Not measured: the time from the loss of a leader to the first start, and processor time by part on whole hosts.

--- a/core/src/main/kotlin/org/auburnlever/peer/PeerRequest.kt
+++ b/core/src/main/kotlin/org/auburnlever/peer/PeerRequest.kt
@@ -18,6 +18,7 @@
 import org.auburnlever.wire.WorkerHeartbeat
 import org.auburnlever.workload.FleetAnswer
 import org.auburnlever.workload.FleetCall
+import org.auburnlever.workload.state.Queue
 
 /** Request from one host to another. */
 @Serializable
@@ -65,10 +66,10 @@
     @SerialName("fleet")
     data class Fleet(val call: FleetCall) : PeerRequest
 
-    /** Asks which hosts hold replicas of the workload group. */
+    /** Asks which hosts hold replicas of the workload group, and for the active queues if [withQueues] is set. */
     @Serializable
     @SerialName("fleet_members")
-    data object FleetMembers : PeerRequest
+    data class FleetMembers(val withQueues: Boolean = false) : PeerRequest
 
     /** Asks for the receiver's state dump. */
     @Serializable
@@ -147,15 +148,25 @@
     @SerialName("fleet")
     data class Fleet(val answer: FleetAnswer) : PeerReply
 
-    /** Hosts that hold replicas of the workload group. */
+    /**
+     * Hosts that hold replicas of the workload group.
+     *
+     * @property leader the leader that the replying replica knows in [term]; null if it knows none
+     * @property queues the active queues, if the request asked for them
+     */
     @Serializable
     @SerialName("fleet_members")
-    data class FleetMembers(val hosts: List<HostName>) : PeerReply
+    data class FleetMembers(
+        val hosts: List<HostName>,
+        val leader: HostName? = null,
+        val term: Long = 0,
+        val queues: List<Queue> = emptyList(),
+    ) : PeerReply
 
-    /** The request had no effect and can be sent to [leader], if known. */
+    /** The request had no effect and can be sent to [leader], if known; [term] is 0 if the host did not tell it. */
     @Serializable
     @SerialName("not_leader")
-    data class NotLeader(val leader: HostName?) : PeerReply
+    data class NotLeader(val leader: HostName?, val term: Long = 0) : PeerReply
 
     /** The request may have taken effect. */
     @Serializable
--- a/core/src/main/kotlin/org/auburnlever/workload/Coordinator.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/Coordinator.kt
@@ -3,6 +3,7 @@
 import com.github.michaelbull.result.get
 import org.auburnlever.workload.admission.AdmissionForecast
 import org.auburnlever.workload.admission.backlogAfter
+import org.auburnlever.workload.leaderless.firstInOneCommit
 import org.auburnlever.workload.planning.PlanningInput
 import org.auburnlever.workload.planning.RunProgress
 import org.auburnlever.workload.planning.UrgentDemand
@@ -202,9 +203,14 @@
             logDecision("task_displaced", run.toString(), "for" to step)
             runs[run]?.let { stop(run, it, nowMillis) }
         }
-        if (plan.assignments.isNotEmpty()) {
+        val assignments = if (SchedulingFeature.LEADERLESS_ADMISSION in features) {
+            plan.assignments.firstInOneCommit()
+        } else {
+            plan.assignments
+        }
+        if (assignments.isNotEmpty()) {
             assigning = true
-            propose(WorkloadCommand.Assign(plan.assignments), ProposalTag.Assign)
+            propose(WorkloadCommand.Assign(assignments), ProposalTag.Assign)
         }
     }
 
--- a/core/src/main/kotlin/org/auburnlever/workload/runs/LeaderState.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/runs/LeaderState.kt
@@ -8,6 +8,7 @@
 import org.auburnlever.workload.DecisionLogEntry
 import org.auburnlever.workload.ProposalTag
 import org.auburnlever.workload.WorkloadLimits
+import org.auburnlever.workload.state.JobRecord
 import org.auburnlever.workload.state.RunEnd
 import org.auburnlever.workload.state.TaskRun
 import org.auburnlever.workload.state.WorkerRef
@@ -26,6 +27,12 @@
     var proposedEnds: PersistentSet<TaskRun> = persistentSetOf()
         private set
 
+    /** The jobs at which the runs were last compared with the assigned ones; a tick without a change skips that. */
+    var checkedJobs: PersistentMap<String, JobRecord>? = null
+
+    /** The jobs and the proposed ends at which runs were last adopted. */
+    var adoptedFrom: Pair<PersistentMap<String, JobRecord>, PersistentSet<TaskRun>>? = null
+
     // Orders of earlier leaders may stay in effect until then.
     private val electionLeaseEndMillis = electedMillis + limits.leaseSafeMillis
     private val effects = ArrayList<CoordinatorEffect>()
--- a/core/src/main/kotlin/org/auburnlever/workload/runs/RunReconciliation.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/runs/RunReconciliation.kt
@@ -11,12 +11,17 @@
 
 /** Forgets runs that are no longer assigned. */
 internal fun LeaderState.forgetEndedRuns(state: WorkloadState) {
+    if (state.jobs === checkedJobs) return
+    checkedJobs = state.jobs
     val current = state.jobs.values.flatMap { it.assigned() }.map { (id, task) -> TaskRun(id, task.run) }.toSet()
     keepRuns { it in current }
 }
 
 /** Adopts assigned runs that this leader does not know yet. */
 internal fun LeaderState.adoptRuns(state: WorkloadState) {
+    // Runs are removed only together with a change of the jobs or of the proposed ends.
+    if (adoptedFrom.let { it != null && it.first === state.jobs && it.second === proposedEnds }) return
+    adoptedFrom = state.jobs to proposedEnds
     for ((id, task) in state.jobs.values.flatMap { it.assigned() }) {
         val run = TaskRun(id, task.run)
         val ref = task.worker
--- a/core/src/main/kotlin/org/auburnlever/workload/state/JobRecord.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/state/JobRecord.kt
@@ -161,7 +161,8 @@
     fun criticalPathMillis(): Long = criticalPath
 }
 
-private fun JobSpec.criticalPathMillis(): Long {
+/** Returns the estimated duration of the longest chain of dependent steps. */
+internal fun JobSpec.criticalPathMillis(): Long {
     val ends = ArrayList<Long>()
     for (step in steps) {
         ends += step.estimatedMillis + (step.dependsOn.maxOfOrNull { ends.getOrElse(it) { 0L } } ?: 0L)
--- a/node/src/main/kotlin/org/auburnlever/fleet/ControlHost.kt
+++ b/node/src/main/kotlin/org/auburnlever/fleet/ControlHost.kt
@@ -23,6 +23,7 @@
 import org.auburnlever.consensus.voters
 import org.auburnlever.host.GroupContext
 import org.auburnlever.host.GroupRunner
+import org.auburnlever.host.GroupView
 import org.auburnlever.host.HostClock
 import org.auburnlever.host.Submission
 import org.auburnlever.host.toReply
@@ -174,12 +175,18 @@
             return when (request) {
                 is PeerRequest.Fleet -> components.callHandler.handle(request.call).toReply { PeerReply.Fleet(it) }
                 is PeerRequest.Admit -> admit(components, request)
-                PeerRequest.FleetMembers ->
-                    PeerReply.FleetMembers(components.runner.view.membership.roles.keys.map { it.host })
+                is PeerRequest.FleetMembers -> members(components.runner.view, request.withQueues)
                 else -> PeerReply.NotDone("a control host does not handle this call")
             }
         }
 
+        private fun members(view: GroupView<WorkloadState>, withQueues: Boolean) = PeerReply.FleetMembers(
+            hosts = view.membership.roles.keys.map { it.host },
+            leader = view.leader?.host,
+            term = view.term,
+            queues = if (withQueues) view.state.catalog?.queues.orEmpty() else emptyList(),
+        )
+
         private suspend fun admit(components: Components, request: PeerRequest.Admit): PeerReply {
             peers.dial(request.replica.host)
             return components.runner.change(MembershipChange.AddLearner(request.replica)).toReply { PeerReply.Ok }
--- a/node/src/main/kotlin/org/auburnlever/fleet/EntryHost.kt
+++ b/node/src/main/kotlin/org/auburnlever/fleet/EntryHost.kt
@@ -21,6 +21,7 @@
 import org.auburnlever.transport.PeerHandler
 import org.auburnlever.transport.PeerTransport
 import org.auburnlever.transport.SharedKey
+import org.auburnlever.workload.SchedulingFeature
 import java.io.IOException
 import java.util.concurrent.CompletableFuture
 
@@ -38,8 +39,17 @@
         }
     private val peers = FleetPeers(settings, transport)
 
+    private val clock = HostClock()
+    private val decidesAdmission = SchedulingFeature.LEADERLESS_ADMISSION in settings.features
+    private val admission = if (decidesAdmission) {
+        val watch = LeaderWatch(transport, transport, peers::members, clock, registry)
+        LeaderlessAdmission(watch, peers::queues, clock, registry)
+    } else {
+        null
+    }
+
     /** Calls the leader of the workload group. */
-    val client = FleetClient(transport, peers::members, local = null, HostClock())
+    val client = FleetClient(transport, peers::members, local = null, clock, admission)
 
     /** Whether this host can reach a control host. */
     val isConnected: Boolean get() = transport.reachable().isNotEmpty()
@@ -49,9 +59,14 @@
         runBlocking { transport.start() }
         settings.seedHosts.forEach(peers::dial)
         scope.launch {
+            var queuesDueMillis = 0L
             while (scope.isActive) {
                 delay(REFRESH_INTERVAL_MILLIS)
-                peers.refresh()
+                val withQueues = decidesAdmission && clock.nowMillis() >= queuesDueMillis
+                peers.refresh(withQueues)
+                if (withQueues && peers.queues.isNotEmpty()) {
+                    queuesDueMillis = clock.nowMillis() + QUEUES_INTERVAL_MILLIS
+                }
             }
         }
         logger.info { "entry host ${self.host} started" }
@@ -85,5 +100,8 @@
     private companion object {
         /** Time in which new control hosts are found. The previous ones continue to answer until then. */
         const val REFRESH_INTERVAL_MILLIS = 2_000L
+
+        /** Objectives of queues change rarely, and outdated ones only change how long a call waits for a leader. */
+        const val QUEUES_INTERVAL_MILLIS = 20_000L
     }
 }
--- a/node/src/main/kotlin/org/auburnlever/fleet/FleetCallHandler.kt
+++ b/node/src/main/kotlin/org/auburnlever/fleet/FleetCallHandler.kt
@@ -91,7 +91,10 @@
     private fun acknowledge(accepted: Boolean): Submission<FleetAnswer> =
         if (accepted) Submission.Applied(FleetAnswer.Taken(runner.view.replica.host)) else notLeader()
 
-    private fun notLeader() = Submission.NotLeader(runner.view.leader?.host?.takeIf { it != runner.view.replica.host })
+    private fun notLeader(): Submission.NotLeader {
+        val view = runner.view
+        return Submission.NotLeader(view.leader?.host?.takeIf { it != view.replica.host }, view.term)
+    }
 }
 
 /** The leader that this answer names; null if it names none. */
--- a/node/src/main/kotlin/org/auburnlever/fleet/FleetClient.kt
+++ b/node/src/main/kotlin/org/auburnlever/fleet/FleetClient.kt
@@ -22,6 +22,7 @@
     private val members: () -> List<HostName>,
     private val local: (suspend (FleetCall) -> Submission<FleetAnswer>)?,
     clock: HostClock,
+    private val admission: LeaderlessAdmission? = null,
 ) {
     private val hint = LeaderHint()
     private val leaderClient = LeaderClient(transport, transport, { hint.current }, { members() }, clock)
@@ -31,6 +32,7 @@
      * The error is [SubmitError.NotSubmitted] only if the call can't have had an effect.
      */
     suspend fun ask(call: FleetCall, timeoutMillis: Long): Result<FleetAnswer, SubmitError> {
+        if (admission != null) return admission.ask(call, timeoutMillis)
         val askLocal = local?.let { answer -> suspend { answer(call).also(::remember) } }
         val request = LeaderRequest(WORKLOAD_GROUP, askLocal, PeerRequest.Fleet(call), ::isTurnedAway) { reply ->
             decode(reply) { (it as? PeerReply.Fleet)?.answer }.also(::remember)
--- a/node/src/main/kotlin/org/auburnlever/fleet/FleetPeers.kt
+++ b/node/src/main/kotlin/org/auburnlever/fleet/FleetPeers.kt
@@ -8,12 +8,18 @@
 import org.auburnlever.peer.PeerRequest
 import org.auburnlever.transport.Peer
 import org.auburnlever.transport.PeerTransport
+import org.auburnlever.workload.state.Queue
 import java.util.concurrent.atomic.AtomicReference
 
 /** Tracks the control hosts and connects to them, starting with the seed hosts of the settings. */
 internal class FleetPeers(private val settings: FleetSettings, private val transport: PeerTransport) {
     private val members = AtomicReference(settings.seedHosts)
 
+    /** The queues of the desired state as last fetched by [refresh]; empty before. */
+    @Volatile
+    var queues: List<Queue> = emptyList()
+        private set
+
     /** Returns the control hosts to ask for the leader. */
     fun members(): List<HostName> = members.get()
 
@@ -27,12 +33,19 @@
     /** Opens a link to [host] and keeps it open, unless there is one. */
     fun dial(host: HostName) = transport.add(peer(host, settings.peerPort))
 
-    /** Fetches the current members from a random reachable host. Call it repeatedly, as changes are not announced. */
-    suspend fun refresh() {
+    /**
+     * Fetches the current members, and with [withQueues] the queues, from a random reachable host.
+     *
+     * Call it repeatedly, as changes are not announced.
+     */
+    suspend fun refresh(withQueues: Boolean = false) {
         val reachable = transport.reachable()
         val target = (members() + settings.seedHosts).distinct().filter { it in reachable }.randomOrNull() ?: return
-        transport.call(target, PeerRequest.FleetMembers, REFRESH_TIMEOUT_MILLIS).onSuccess { reply ->
-            if (reply is PeerReply.FleetMembers) replace(reply.hosts)
+        transport.call(target, PeerRequest.FleetMembers(withQueues), REFRESH_TIMEOUT_MILLIS).onSuccess { reply ->
+            if (reply is PeerReply.FleetMembers) {
+                replace(reply.hosts)
+                if (reply.queues.isNotEmpty()) queues = reply.queues
+            }
         }
     }
 
--- /dev/null
+++ b/node/src/main/kotlin/org/auburnlever/fleet/LeaderlessAdmission.kt
@@ -0,0 +1,142 @@
+package org.auburnlever.fleet
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.fold
+import io.micrometer.core.instrument.MeterRegistry
+import kotlinx.coroutines.delay
+import org.auburnlever.host.HostClock
+import org.auburnlever.host.Submission
+import org.auburnlever.host.SubmitError
+import org.auburnlever.host.decode
+import org.auburnlever.model.HostName
+import org.auburnlever.peer.PeerReply
+import org.auburnlever.peer.PeerRequest
+import org.auburnlever.transport.CallError
+import org.auburnlever.workload.FleetAnswer
+import org.auburnlever.workload.FleetCall
+import org.auburnlever.workload.leaderless.LeaderSign
+import org.auburnlever.workload.leaderless.WaitingCall
+import org.auburnlever.workload.state.Inadmissible
+import org.auburnlever.workload.state.Queue
+
+/**
+ * Passes calls of an entry host to the leader, and decides which of them wait while there is none.
+ *
+ * A call that has not been tried waits as long as [WaitingCall] says and is then refused with the time of its return.
+ * A call whose outcome is unknown is sent to the next leader until its caller's deadline, since calls are idempotent.
+ */
+internal class LeaderlessAdmission(
+    private val watch: LeaderWatch,
+    private val queues: () -> List<Queue>,
+    private val clock: HostClock,
+    private val registry: MeterRegistry,
+) {
+    private class Progress(val call: FleetCall, val waiting: WaitingCall, val startMillis: Long, val endMillis: Long) {
+        var undecided: String? = null
+        var attempted = false
+    }
+
+    /** Sends [call] to the leader until it is answered, is refused, or [timeoutMillis] have passed. */
+    suspend fun ask(call: FleetCall, timeoutMillis: Long): Result<FleetAnswer, SubmitError> {
+        val nowMillis = clock.nowMillis()
+        val progress = Progress(call, WaitingCall.of(call, queues()), nowMillis, nowMillis + timeoutMillis)
+        var result: Result<FleetAnswer, SubmitError>? = null
+        while (result == null) {
+            result = if (clock.nowMillis() >= progress.endMillis) expire(progress) else step(progress)
+        }
+        return result
+    }
+
+    private suspend fun step(progress: Progress): Result<FleetAnswer, SubmitError>? {
+        val leader = watch.leader()
+        return if (leader == null) awaitLeader(progress) else attempt(progress, leader)
+    }
+
+    /** Waits a moment for a leader; returns the refusal of a call that is to wait no longer. */
+    private suspend fun awaitLeader(progress: Progress): Result<FleetAnswer, SubmitError>? {
+        val nowMillis = clock.nowMillis()
+        val prospect = watch.prospect
+        val usefulEndMillis = progress.startMillis + progress.waiting.waitMillis(prospect)
+        if (!progress.attempted && nowMillis >= usefulEndMillis) {
+            count("refused")
+            return Err(refusal(progress))
+        }
+        val untilMillis = if (progress.attempted) progress.endMillis else minOf(usefulEndMillis, progress.endMillis)
+        // The prospect changes while the call waits, so it is looked at again.
+        watch.awaitLeader((untilMillis - nowMillis).coerceIn(1, PROSPECT_INTERVAL_MILLIS))
+        return null
+    }
+
+    private suspend fun attempt(
+        progress: Progress,
+        leader: HostName,
+    ): Result<FleetAnswer, SubmitError>? {
+        val timeoutMillis = (progress.endMillis - clock.nowMillis()).coerceIn(1, ATTEMPT_TIMEOUT_MILLIS)
+        val answer = watch.call(leader, PeerRequest.Fleet(progress.call), timeoutMillis).fold(
+            { reply -> decode(reply) { (it as? PeerReply.Fleet)?.answer } },
+            { if (it is CallError.NotSent) null else Submission.Undecided(it.message) },
+        )
+        return when (answer) {
+            null -> {
+                count("not_sent")
+                if (watch.leader() == leader) delay(RETRY_INTERVAL_MILLIS)
+                null
+            }
+            is Submission.Applied -> {
+                watch.observe(leader, LeaderSign.Answered)
+                applied(progress, answer.reply)
+            }
+            is Submission.Refused -> Err(unknown(progress) ?: SubmitError.NotSubmitted(answer.message))
+            is Submission.NotLeader -> {
+                watch.observe(leader, LeaderSign.NotLeading(answer.leader, answer.term))
+                // A host that was just elected is named as leader before it can answer.
+                if (watch.leader().let { it == null || it == leader }) delay(RETRY_INTERVAL_MILLIS)
+                null
+            }
+            is Submission.Undecided -> {
+                progress.attempted = true
+                if (progress.call.hasEffect) progress.undecided = answer.message
+                count("no_reply")
+                null
+            }
+        }
+    }
+
+    /** An earlier attempt whose reply was lost may still take effect after a later one was turned away. */
+    private fun applied(progress: Progress, answer: FleetAnswer): Result<FleetAnswer, SubmitError> {
+        val turnedAway = answer is FleetAnswer.NotAdmitted && answer.reason == Inadmissible.OVERLOADED
+        val error = if (turnedAway) unknown(progress) else null
+        if (progress.undecided != null && error == null) count("settled")
+        return if (error == null) Ok(answer) else Err(error)
+    }
+
+    private fun expire(progress: Progress): Result<FleetAnswer, SubmitError> {
+        val error = unknown(progress)
+        count(if (error == null) "expired" else "unknown")
+        return Err(error ?: refusal(progress))
+    }
+
+    private fun unknown(progress: Progress): SubmitError? =
+        progress.undecided?.let { SubmitError.Undecided("$WORKLOAD_GROUP: $it") }
+
+    private fun refusal(progress: Progress) = SubmitError.NotSubmitted(
+        "no leader of $WORKLOAD_GROUP could be reached",
+        progress.waiting.retryAfterMillis(watch.prospect),
+    )
+
+    private fun count(outcome: String) = registry.counter("auburn.leaderless.calls", "outcome", outcome).increment()
+
+    private val FleetCall.hasEffect: Boolean
+        get() = this !is FleetCall.ReadJob && this != FleetCall.ReadCatalog
+
+    private companion object {
+        /** Shorter than an election, so that a new leader is asked soon after it is ready. */
+        const val RETRY_INTERVAL_MILLIS = 50L
+        const val PROSPECT_INTERVAL_MILLIS = 100L
+
+        /** Another host is asked after this time, as the leader may be isolated without having noticed yet. */
+        const val ATTEMPT_TIMEOUT_MILLIS = 1_500L
+    }
+}
--- a/node/src/main/kotlin/org/auburnlever/fleet/LeadershipTracker.kt
+++ b/node/src/main/kotlin/org/auburnlever/fleet/LeadershipTracker.kt
@@ -7,13 +7,17 @@
 import org.auburnlever.host.Submission
 import org.auburnlever.workload.Coordinator
 import org.auburnlever.workload.CoordinatorEffect
+import org.auburnlever.workload.DecisionLogEntry
 import org.auburnlever.workload.state.WorkloadReply
 import org.auburnlever.workload.state.WorkloadState
 
 private val logger = KotlinLogging.logger {}
 
 /** One term of this host as leader. Callbacks of earlier terms are dropped. Used by the decision thread only. */
-internal class LeadershipTerm(val term: Long, val readyIndex: Long) {
+internal class LeadershipTerm(val term: Long, val readyIndex: Long, val electedMillis: Long = 0) {
+    /** Whether the first start of this term has been logged. */
+    var started = false
+
     /** Null until the entry at [readyIndex] is applied, and with it all that was committed before the term. */
     var coordinator: Coordinator? = null
 
@@ -41,15 +45,21 @@
     var ready = false
         private set
 
+    // When this replica last knew a leader, until it gave it up after its election timeout.
+    private var leaderSeenMillis: Long? = null
+    private var electionMillis: Long? = null
+
     /** Updates [current] from [view] and returns it. */
     fun update(view: GroupView<WorkloadState>, nowMillis: Long): LeadershipTerm? {
-        val next = if (view.isLeader) currentOrNew(view) else null
+        val next = if (view.isLeader) currentOrNew(view, nowMillis) else null
         if (next == null) current?.let { logger.info { "leadership of term ${it.term} lost" } }
         current = next
         if (next != null && next.coordinator == null && view.appliedIndex >= next.readyIndex) {
             logger.info { "leading in term ${view.term} since index ${view.appliedIndex}" }
             next.coordinator = newCoordinator(view.term, nowMillis)
+            logReady(next, nowMillis)
         }
+        if (view.leader != null) leaderSeenMillis = nowMillis
         ready = next?.coordinator != null
         return next
     }
@@ -91,8 +101,25 @@
         emptyList()
     }
 
-    private fun currentOrNew(view: GroupView<WorkloadState>): LeadershipTerm =
-        current?.takeIf { it.term == view.term } ?: LeadershipTerm(view.term, view.lastIndex)
+    private fun currentOrNew(view: GroupView<WorkloadState>, nowMillis: Long): LeadershipTerm =
+        current?.takeIf { it.term == view.term } ?: LeadershipTerm(view.term, view.lastIndex, nowMillis)
+            .also { electionMillis = leaderSeenMillis?.let { seen -> nowMillis - seen } }
+
+    private fun logReady(leadership: LeadershipTerm, nowMillis: Long) {
+        val details = mapOf(
+            "electionMillis" to electionMillis,
+            "adoptionMillis" to nowMillis - leadership.electedMillis,
+        )
+        decisions.write(DecisionLogEntry("leadership_ready", "${leadership.term}", details), leadership.term)
+    }
+
+    /** Logs how long after the election of [leadership] its first start is sent. */
+    fun logFirstStart(leadership: LeadershipTerm, nowMillis: Long) {
+        if (leadership.started) return
+        leadership.started = true
+        val details = mapOf("sinceElectionMillis" to nowMillis - leadership.electedMillis)
+        decisions.write(DecisionLogEntry("leadership_first_start", "${leadership.term}", details), leadership.term)
+    }
 
     private companion object {
         /** Three checks fit into the time after which a leader without confirmation stops sending orders. */
--- a/node/src/main/kotlin/org/auburnlever/fleet/WorkloadLeader.kt
+++ b/node/src/main/kotlin/org/auburnlever/fleet/WorkloadLeader.kt
@@ -135,6 +135,7 @@
 
     private fun send(current: LeadershipTerm, order: WorkerOrder) {
         val sentMillis = clock.nowMillis()
+        if (order is WorkerOrder.Start) leadershipTracker.logFirstStart(current, sentMillis)
         scope.launch {
             val answer = workers.send(order)
             runner.execute {
--- a/node/src/main/kotlin/org/auburnlever/host/HostPeerHandler.kt
+++ b/node/src/main/kotlin/org/auburnlever/host/HostPeerHandler.kt
@@ -54,7 +54,7 @@
             is PeerRequest.Dispatch -> components.dispatcher.dispatchForPeer(request)
             is PeerRequest.Heartbeat -> heartbeat(components, request)
             is PeerRequest.Admit -> admit(components, request)
-            is PeerRequest.Fleet, PeerRequest.FleetMembers -> PeerReply.NotDone("this host has no workload group")
+            is PeerRequest.Fleet, is PeerRequest.FleetMembers -> PeerReply.NotDone("this host has no workload group")
             PeerRequest.FetchBundle -> PeerReply.BundleInForce(components.activeBundle.bundle)
             PeerRequest.Dump -> PeerReply.Document(components.dump.dump().toString())
         }
@@ -85,7 +85,7 @@
 internal fun <T> Submission<T>?.toReply(applied: (T) -> PeerReply): PeerReply = when (this) {
     null -> PeerReply.NotLeader(null)
     is Submission.Applied -> applied(reply)
-    is Submission.NotLeader -> PeerReply.NotLeader(leader)
+    is Submission.NotLeader -> PeerReply.NotLeader(leader, term)
     is Submission.Refused -> PeerReply.NotDone(message)
     is Submission.Undecided -> PeerReply.Undecided(message)
 }
--- a/node/src/main/kotlin/org/auburnlever/host/Submission.kt
+++ b/node/src/main/kotlin/org/auburnlever/host/Submission.kt
@@ -7,8 +7,8 @@
     /** The command is durable on a majority and was applied, or the read is confirmed. */
     data class Applied<R>(val reply: R) : Submission<R>
 
-    /** It has no effect, as this replica does not lead; [leader] is the leader that it knows. */
-    data class NotLeader(val leader: HostName?) : Submission<Nothing>
+    /** It has no effect, as this replica does not lead; [leader] is the leader that it knows in [term], if it told. */
+    data class NotLeader(val leader: HostName?, val term: Long = 0) : Submission<Nothing>
 
     /** It has no effect, and no replica would accept it. */
     data class Refused(val message: String) : Submission<Nothing>
--- a/node/src/main/kotlin/org/auburnlever/transport/DialledLink.kt
+++ b/node/src/main/kotlin/org/auburnlever/transport/DialledLink.kt
@@ -11,15 +11,16 @@
 internal class DialledLink(val link: Link, val pending: PendingCalls) {
     /** Sends [request] and waits at most [timeoutMillis] for the reply. */
     suspend fun call(request: PeerRequest, timeoutMillis: Long): Result<PeerReply, CallError> {
-        val (callId, deferred) = pending.register()
+        val call = pending.register()
         try {
-            if (!link.offer(PeerMessage.Call(callId, timeoutMillis, request))) {
+            if (!link.offer(PeerMessage.Call(call.id, timeoutMillis, request), call::beginWrite)) {
                 return Err(CallError.NotSent("not queued for ${link.peer}: too large, queue full or link closed"))
             }
-            return withTimeoutOrNull(timeoutMillis) { deferred.await() }
-                ?: Err(CallError.NoReply("${link.peer} did not reply within $timeoutMillis ms"))
+            return withTimeoutOrNull(timeoutMillis) { call.reply.await() }
+                ?: Err(call.failure("${link.peer} did not reply within $timeoutMillis ms"))
         } finally {
-            pending.remove(callId)
+            call.withdraw()
+            pending.remove(call.id)
         }
     }
 }
--- a/node/src/main/kotlin/org/auburnlever/transport/Link.kt
+++ b/node/src/main/kotlin/org/auburnlever/transport/Link.kt
@@ -22,7 +22,7 @@
     private val receiveAuthenticator: FrameAuthenticator,
     private val counters: LinkCounters,
 ) {
-    private val outgoing = Channel<ByteArray>(QUEUE_FRAMES)
+    private val outgoing = Channel<OutgoingFrame>(QUEUE_FRAMES)
 
     @Volatile
     private var lastReceivedNanos = System.nanoTime()
@@ -31,10 +31,18 @@
     val hasRecentFrame: Boolean
         get() = System.nanoTime() - lastReceivedNanos < TimeUnit.MILLISECONDS.toNanos(RECENT_FRAME_MILLIS)
 
-    /** Queues [message]; returns false and drops it if it is too large, the queue is full or the link is closed. */
-    fun offer(message: PeerMessage): Boolean {
+    /** A queued payload; it is dropped if [beginWrite] returns false when its turn comes. */
+    private class OutgoingFrame(val payload: ByteArray, val beginWrite: () -> Boolean)
+
+    /**
+     * Queues [message]; returns false and drops it if it is too large, the queue is full or the link is closed.
+     *
+     * [beginWrite] is called just before the first byte is written, and returns whether the message is still wanted.
+     */
+    fun offer(message: PeerMessage, beginWrite: () -> Boolean = { true }): Boolean {
         val payload = Codec.encode(message).toByteArray()
-        return payload.size <= FrameChannel.MAX_FRAME_BYTES && outgoing.trySend(payload).isSuccess
+        return payload.size <= FrameChannel.MAX_FRAME_BYTES &&
+            outgoing.trySend(OutgoingFrame(payload, beginWrite)).isSuccess
     }
 
     /** Reads and writes frames until the link ends; [onMessage] gets each message received. */
@@ -56,18 +64,18 @@
     }
 
     private suspend fun writeFrames() {
-        var payload = nextPayload()
-        while (payload != null) {
-            write(payload)
+        var frame = nextFrame()
+        while (frame != null) {
+            write(frame)
             writeQueued()
             frames.flush()
-            payload = nextPayload()
+            frame = nextFrame()
         }
     }
 
-    /** Waits for a payload; returns a keep-alive if none is queued in time and null once the link is closed. */
+    /** Waits for a frame; returns a keep-alive if none is queued in time and null once the link is closed. */
     @OptIn(ExperimentalCoroutinesApi::class)
-    private suspend fun nextPayload(): ByteArray? =
+    private suspend fun nextFrame(): OutgoingFrame? =
         select {
             outgoing.onReceiveCatching { it.getOrNull() }
             onTimeout(KEEP_ALIVE_MILLIS) { KEEP_ALIVE }
@@ -81,9 +89,10 @@
         }
     }
 
-    private suspend fun write(payload: ByteArray) {
-        frames.write(payload, sendAuthenticator)
-        counters.sentBytes.increment(payload.size.toDouble())
+    private suspend fun write(frame: OutgoingFrame) {
+        if (!frame.beginWrite()) return
+        frames.write(frame.payload, sendAuthenticator)
+        counters.sentBytes.increment(frame.payload.size.toDouble())
     }
 
     private suspend fun readFrames(onMessage: (PeerMessage) -> Unit) {
@@ -114,6 +123,6 @@
         const val RECENT_FRAME_MILLIS = 1_200L
 
         private const val QUEUE_FRAMES = 1_024
-        private val KEEP_ALIVE = ByteArray(0)
+        private val KEEP_ALIVE = OutgoingFrame(ByteArray(0)) { true }
     }
 }
--- a/node/src/main/kotlin/org/auburnlever/transport/PeerClient.kt
+++ b/node/src/main/kotlin/org/auburnlever/transport/PeerClient.kt
@@ -15,7 +15,7 @@
 sealed interface CallError {
     val message: String
 
-    /** The request was not sent: there is no link to the host, or the link did not accept it. */
+    /** The request was not sent: there is no link to the host, or the link ended before its turn. */
     data class NotSent(override val message: String) : CallError
 
     /** The request was queued, but no reply arrived in time or the link closed; the host may have handled it. */
--- a/node/src/test/kotlin/org/auburnlever/host/LeaderClientTest.kt
+++ b/node/src/test/kotlin/org/auburnlever/host/LeaderClientTest.kt
@@ -85,7 +85,7 @@
         )
         val peers = FakePeers(hosts, answers)
         val client = LeaderClient(peers, peers, { null }, { hosts }, HostClock())
-        val request = LeaderRequest(GroupName("workload"), null, PeerRequest.FleetMembers, { it == "turned away" }) {
+        val request = LeaderRequest(GroupName("workload"), null, PeerRequest.FleetMembers(), { it == "turned away" }) {
             Submission.Applied("turned away")
         }
         assertIs<SubmitError.Undecided>(runBlocking { client.ask(request, TIMEOUT_MILLIS) }.getError())
