--- a/core/src/main/kotlin/org/auburnlever/workload/Coordinator.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/Coordinator.kt
@@ -14,6 +14,7 @@
 import org.auburnlever.workload.interference.handlePaceAnswer
 import org.auburnlever.workload.interference.protectedRuns
 import org.auburnlever.workload.interference.watchedWorkers
+import org.auburnlever.workload.leaderless.firstInOneCommit
 import org.auburnlever.workload.learning.durations
 import org.auburnlever.workload.learning.logLearnedDurations
 import org.auburnlever.workload.learning.markSlowed
@@ -243,9 +244,14 @@
             runs[run]?.let { stop(run, it, nowMillis) }
         }
         moveEvacuatedRuns(state, input, plan, nowMillis)
-        if (plan.assignments.isNotEmpty()) {
+        val bounded = if (SchedulingFeature.LEADERLESS_ADMISSION in features) {
+            plan.assignments.firstInOneCommit()
+        } else {
+            plan.assignments
+        }
+        if (bounded.isNotEmpty()) {
             assigning = true
-            val assignments = plan.assignments.markSlowed(state) { workers[it]?.report?.rack }
+            val assignments = bounded.markSlowed(state) { workers[it]?.report?.rack }
             propose(WorkloadCommand.Assign(assignments), ProposalTag.Assign)
         }
     }
--- a/core/src/main/kotlin/org/auburnlever/workload/state/JobRecord.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/state/JobRecord.kt
@@ -168,3 +168,6 @@
     /** Returns the estimated duration of the longest chain of dependent steps. */
     fun criticalPathMillis(): Long = criticalPath
 }
+
+/** Returns the estimated duration of the longest chain of dependent steps. */
+internal fun JobSpec.criticalPathMillis(): Long = longestChainMillis { steps[it].estimatedMillis }
