--- a/core/src/main/kotlin/org/auburnlever/workload/planning/PreemptionPlanner.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/planning/PreemptionPlanner.kt
@@ -102,10 +102,6 @@
         return Preemption(ending, stopped, placements, ending.sumOf { it.costWithin(patienceMillis) })
     }
 
-    private fun MutableMap<WorkerCapacity, PreemptionOffer>.update(worker: WorkerCapacity, offer: PreemptionOffer) {
-        if (offer.units == null) remove(worker) else put(worker, offer)
-    }
-
     /** Returns the cached offers of a step, looked up once for all workers, since hashing the key is expensive. */
     private fun knownOffers(step: WaitingStep, patienceMillis: Long): HashMap<WorkerCapacity, PreemptionOffer> =
         firstOffers.getOrPut(OfferKey(step.priority, step.guaranteed, step.spec.reserved, patienceMillis)) { HashMap() }
@@ -158,3 +154,7 @@
         const val PATIENCE_STEP_MILLIS = 500L
     }
 }
+
+private fun MutableMap<WorkerCapacity, PreemptionOffer>.update(worker: WorkerCapacity, offer: PreemptionOffer) {
+    if (offer.units == null) remove(worker) else put(worker, offer)
+}
--- a/core/src/main/kotlin/org/auburnlever/workload/planning/WorkPlan.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/planning/WorkPlan.kt
@@ -8,6 +8,7 @@
 import org.auburnlever.workload.preemption.KeptRoom
 import org.auburnlever.workload.preemption.PreemptionOutcome
 import org.auburnlever.workload.preemption.StopLosses
+import org.auburnlever.workload.preemption.UrgentPlanning
 import org.auburnlever.workload.state.Assignment
 import org.auburnlever.workload.state.JobPhase
 import org.auburnlever.workload.state.JobRecord
@@ -50,8 +51,7 @@
         preemptionPlanner,
         rules,
         reservedForUrgent = if (joint) emptySet() else fleet.workersToReserve(input.urgentReserve),
-        keptRoom = if (joint) KeptRoom.of(fleet, input, nowMillis) else null,
-        jointPreemption = jointPreemption,
+        urgentPlanning = jointPreemption?.let { UrgentPlanning(KeptRoom.of(fleet, input, nowMillis), it) },
         scarcity = ScarcePlacement.of(fleet, input, nowMillis),
     )
     input.orderedSteps(input.jobs, guaranteed, nowMillis).forEach(planner::consider)
--- a/core/src/main/kotlin/org/auburnlever/workload/planning/WorkPlanner.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/planning/WorkPlanner.kt
@@ -2,9 +2,8 @@
 
 import org.auburnlever.model.ServiceName
 import org.auburnlever.workload.placement.ScarcePlacement
-import org.auburnlever.workload.preemption.JointPreemption
-import org.auburnlever.workload.preemption.KeptRoom
 import org.auburnlever.workload.preemption.UrgentClaim
+import org.auburnlever.workload.preemption.UrgentPlanning
 import org.auburnlever.workload.state.Assignment
 import org.auburnlever.workload.state.Resources
 import org.auburnlever.workload.state.StepId
@@ -26,8 +25,7 @@
     private val rules: PreemptionRules,
     private val reservedForUrgent: Set<String>,
     private val scarcity: ScarcePlacement? = null,
-    private val keptRoom: KeptRoom? = null,
-    private val jointPreemption: JointPreemption? = null,
+    private val urgentPlanning: UrgentPlanning? = null,
 ) {
     private val urgentClaims = ArrayList<UrgentClaim>()
     val assignments = ArrayList<Assignment>()
@@ -108,7 +106,7 @@
 
     private fun pool(step: WaitingStep): WorkerPool {
         val all = step.priority == URGENT || step.alone.isNotEmpty()
-        val withheld = if (all) null else keptRoom?.withheldFrom(step)
+        val withheld = if (all) null else urgentPlanning?.keptRoom?.withheldFrom(step)
         if (withheld != null) return fleet.pool(step.job.service, step.spec.constraint, withheld)
         val pools = if (all) pools else poolsOfOthers
         return pools.getOrPut(step.job.service to step.spec.constraint) {
@@ -156,7 +154,7 @@
      */
     private fun preemptFor(step: WaitingStep, placedCount: Int) {
         val missing = step.with(tasks = step.tasks.drop(placedCount))
-        if (jointPreemption != null) {
+        if (urgentPlanning != null) {
             urgentClaims += UrgentClaim(missing, candidateSets(missing), pool(missing).workers)
             return
         }
@@ -172,8 +170,8 @@
 
     /** Decides the preemptions for all urgent steps considered so far, before other steps take the room. */
     fun preemptForClaims() {
-        if (jointPreemption == null || urgentClaims.isEmpty()) return
-        preemptedFor += jointPreemption.decide(urgentClaims)
+        if (urgentPlanning == null || urgentClaims.isEmpty()) return
+        preemptedFor += urgentPlanning.preemption.decide(urgentClaims)
         urgentClaims.clear()
     }
 
--- a/core/src/main/kotlin/org/auburnlever/workload/sharing/LeaderShares.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/sharing/LeaderShares.kt
@@ -19,7 +19,8 @@
         val known = newest
         if (known == null || nowMillis - computedMillis >= INTERVAL_MILLIS) {
             computedMillis = nowMillis
-            newest = AccountShares.of(state.jobs.values, workers, state.guarantees(), state.durations(features), nowMillis)
+            val durations = state.durations(features)
+            newest = AccountShares.of(state.jobs.values, workers, state.guarantees(), durations, nowMillis)
         }
         return newest ?: AccountOrder.EQUAL
     }
