Switch the scheduling features on only where a deployment names them

Reviewing the tick that skips unchanged jobs showed a fault: a run was not watched any more if the proposal to record its end failed before the next tick and no job changed. Change: AUBURNLEVER_FEATURES names the features; none is on by default. Runs are adopted again after each change of the proposed ends, with a test.

--- a/core/src/main/kotlin/org/auburnlever/workload/SchedulingFeature.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/SchedulingFeature.kt
@@ -30,17 +30,17 @@
 
     companion object {
         /**
-         * Returns the features of a deployment with [failureDomainCount] failure domains, without those whose keys are
-         * in [switchedOff].
+         * Returns the features whose keys are in [switchedOn], for a deployment with [failureDomainCount] failure
+         * domains.
          *
          * Smaller deployments are served without them: their few accounts and workers rarely compete for room that is
          * spread over several failure domains.
          */
-        fun forDeployment(failureDomainCount: Int, switchedOff: Set<String>): Set<SchedulingFeature> =
+        fun forDeployment(failureDomainCount: Int, switchedOn: Set<String>): Set<SchedulingFeature> =
             if (failureDomainCount < MIN_FAILURE_DOMAINS) {
                 emptySet()
             } else {
-                entries.filterNot { it.key in switchedOff }.toSet()
+                entries.filter { it.key in switchedOn }.toSet()
             }
 
         private const val MIN_FAILURE_DOMAINS = 6
--- a/core/src/main/kotlin/org/auburnlever/workload/runs/LeaderState.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/runs/LeaderState.kt
@@ -30,8 +30,8 @@
     /** The jobs at which the runs were last compared with the assigned ones; a tick without a change skips that. */
     var checkedJobs: PersistentMap<String, JobRecord>? = null
 
-    /** The jobs and the proposed ends at which runs were last adopted. */
-    var adoptedFrom: Pair<PersistentMap<String, JobRecord>, PersistentSet<TaskRun>>? = null
+    /** The jobs from which runs were last adopted; null if runs have been removed or released since. */
+    var adoptedFrom: PersistentMap<String, JobRecord>? = null
 
     // Orders of earlier leaders may stay in effect until then.
     private val electionLeaseEndMillis = electedMillis + limits.leaseSafeMillis
@@ -64,12 +64,14 @@
     fun recordEnds(ends: List<RunEnd>, worker: WorkerRef? = null, afterEnd: Long = 0, throughEnd: Long = 0) {
         val ended = ends.map { it.run }
         proposedEnds = proposedEnds.addAll(ended)
+        adoptedFrom = null
         runs = ended.fold(runs) { kept, run -> kept.remove(run) }
         propose(WorkloadCommand.RecordEnds(ends), ProposalTag.Ends(worker, afterEnd, throughEnd, ended))
     }
 
     fun clearProposedEnds(ended: List<TaskRun>) {
         proposedEnds = proposedEnds.removeAll(ended)
+        adoptedFrom = null
     }
 
     fun propose(command: WorkloadCommand, tag: ProposalTag) {
--- a/core/src/main/kotlin/org/auburnlever/workload/runs/RunReconciliation.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/runs/RunReconciliation.kt
@@ -19,9 +19,8 @@
 
 /** Adopts assigned runs that this leader does not know yet. */
 internal fun LeaderState.adoptRuns(state: WorkloadState) {
-    // Runs are removed only together with a change of the jobs or of the proposed ends.
-    if (adoptedFrom.let { it != null && it.first === state.jobs && it.second === proposedEnds }) return
-    adoptedFrom = state.jobs to proposedEnds
+    if (state.jobs === adoptedFrom) return
+    adoptedFrom = state.jobs
     for ((id, task) in state.jobs.values.flatMap { it.assigned() }) {
         val run = TaskRun(id, task.run)
         val ref = task.worker
--- a/core/src/test/kotlin/org/auburnlever/workload/runs/WorkerBeliefTest.kt
+++ b/core/src/test/kotlin/org/auburnlever/workload/runs/WorkerBeliefTest.kt
@@ -328,6 +328,23 @@
         assertEquals(0, take<WorkerOrder.Poll>().acknowledgedEnd, "end 1 is not recorded")
     }
 
+    /** Guards against a run that no leader watches any more after the proposal to record its end has failed at once. */
+    @Test
+    fun `a run whose end could not be recorded is polled again`() {
+        val start = startJob()
+        answer(start, OrderAnswer.Done(clockMillis = 100_050))
+        tick(afterMillis = 100)
+        val poll = WorkerOrder.Poll(start.worker, TERM, 0, deadlineMillis = null, waitMillis = 0)
+        val nowMillis = workload.nowMillis
+        val ended = listed(ended = listOf(NumberedEnd(1, RunEnd(start.run, EndKind.DONE, ""))))
+        val proposal = coordinator.onAnswer(workload.state, poll, ended, nowMillis - 10, nowMillis).proposed().single()
+        run(coordinator.onNotApplied(proposal.tag, nowMillis))
+        orders.clear()
+        tick(afterMillis = 6_100)
+
+        assertTrue(take<WorkerOrder.Poll>().waitMillis > 0, "the worker does not count as busy")
+    }
+
     /** Guards against a start on a crashed worker whose delayed report arrives between two answers of its successor. */
     @Test
     fun `a late report of a replaced worker does not make it usable before it has answered a call`() {
