Make orders without an acknowledgement explainable from logs and metrics

Cause: when a call to the leader ended without an answer, no log told which hosts were asked, for how long and what each said; nothing told who votes, how far each replica is behind and what waits for the decision thread; a message over the limit of a link was dropped without a line.

Change: the host that received an order logs its attempts if it got no answer or a late one (leader_call), hosts that did not lead log that with the leader they named (order_not_led), the leader logs the outcome with the time taken, also if the caller stopped waiting, and each control host logs when a version takes effect there. Every 4 s a line tells the state of the group. Metrics time all calls to the leader by kind and outcome and show the state of the group.

Result: no change of logic. LeaderClientTest has tests for the attempts; modules core and node pass their tests of consensus, transport and the fleet's client.

--- a/node/src/main/kotlin/org/auburnlever/fleet/ControlHost.kt
+++ b/node/src/main/kotlin/org/auburnlever/fleet/ControlHost.kt
@@ -80,6 +80,7 @@
         peers::members,
         { call -> components?.callHandler?.handle(call) ?: Submission.NotLeader(null) },
         clock,
+        FleetCallLog(registry),
     )
 
     /** Whether this host knows the leader and can reach it. */
@@ -110,7 +111,8 @@
                 runner.start()
                 runBlocking { transport.start() }
                 settings.seedHosts.forEach(peers::dial)
-                val membership = FleetMembership(runner, peers, transport, settings, clock)
+                val report = GroupReport(runner, decisions, registry)
+                val membership = FleetMembership(runner, peers, transport, settings, clock, report)
                 scope.launch { membership.maintain() }
                 logger.info { "control host ${self.host} started with replica ${opened.replica}" }
             }
--- a/node/src/main/kotlin/org/auburnlever/fleet/EntryHost.kt
+++ b/node/src/main/kotlin/org/auburnlever/fleet/EntryHost.kt
@@ -49,7 +49,7 @@
     }
 
     /** Calls the leader of the workload group. */
-    val client = FleetClient(transport, peers::members, local = null, clock, admission)
+    val client = FleetClient(transport, peers::members, local = null, clock, FleetCallLog(registry), admission)
 
     /** Whether this host can reach a control host. */
     val isConnected: Boolean get() = transport.reachable().isNotEmpty()
--- a/node/src/main/kotlin/org/auburnlever/fleet/FleetCallHandler.kt
+++ b/node/src/main/kotlin/org/auburnlever/fleet/FleetCallHandler.kt
@@ -1,5 +1,6 @@
 package org.auburnlever.fleet
 
+import kotlinx.coroutines.CancellationException
 import org.auburnlever.host.GroupRunner
 import org.auburnlever.host.HostClock
 import org.auburnlever.host.Submission
@@ -22,13 +23,17 @@
 ) {
     /** Answers a change once it is durable, and a read from a state at least as recent as [call]. */
     suspend fun handle(call: FleetCall): Submission<FleetAnswer> {
-        if (!leader.leads) return notLeader()
+        if (!leader.leads) return notLeader().also { logNotLed(call, it) }
         return when (call) {
             is FleetCall.SubmitJob -> submitJob(call)
             is FleetCall.CancelJob ->
                 submit("job_cancel", call.address.path, WorkloadCommand.CancelJob(call.address))
             is FleetCall.ChangeCatalog ->
-                submit("configuration", "${call.catalog.version}", call.toCommand())
+                submit(
+                    "configuration",
+                    "${call.catalog.version}",
+                    WorkloadCommand.ChangeCatalog(call.catalog, call.document),
+                )
             is FleetCall.ReadJob -> read { it.answer(call) }
             is FleetCall.Evacuate -> {
                 val domain = call.failureDomain
@@ -46,13 +51,14 @@
     }
 
     private suspend fun submitJob(call: FleetCall.SubmitJob): Submission<FleetAnswer> {
+        val startMillis = clock.nowMillis()
         var retryAfterMillis: Long? = null
         val result = leader.submit { coordinator ->
             val decision = coordinator?.decideSubmission(runner.view.state, call.address, call.spec, clock.nowMillis())
             retryAfterMillis = decision?.retryAfterMillis
             decision?.command ?: WorkloadCommand.AcceptJob(call.address, call.spec)
         }
-        logOutcome("job_submitted", call.address.path.substringAfterLast('/'), result)
+        logOutcome("job_submitted", call.address.path.substringAfterLast('/'), result, startMillis)
         val answer = result.toAnswer()
         val refusal = (answer as? Submission.Applied)?.reply as? FleetAnswer.NotAdmitted
         return if (refusal?.reason == Inadmissible.OVERLOADED) {
@@ -63,11 +69,25 @@
     }
 
     private suspend fun submit(event: String, id: String, command: WorkloadCommand): Submission<FleetAnswer> {
-        val result = leader.submit { command }
-        logOutcome(event, id.substringAfterLast('/'), result)
+        val startMillis = clock.nowMillis()
+        val name = id.substringAfterLast('/')
+        val result = try {
+            leader.submit { command }
+        } catch (e: CancellationException) {
+            logOutcome(event, name, "none before the caller stopped waiting", startMillis)
+            throw e
+        }
+        logOutcome(event, name, result, startMillis)
         return result.toAnswer()
     }
 
+    /** Logs that this host did not accept an order, as it does not lead or has not applied the log yet. */
+    private fun logNotLed(call: FleetCall, answer: Submission.NotLeader) {
+        val view = runner.view
+        val details = mapOf("call" to call.kind, "role" to view.raftRole, "leader" to answer.leader?.value)
+        call.order?.let { decisions.write(DecisionLogEntry("order_not_led", it, details), view.term) }
+    }
+
     private fun Submission<WorkloadReply>.toAnswer(): Submission<FleetAnswer> = when (this) {
         is Submission.Applied -> Submission.Applied(reply.toAnswer())
         is Submission.NotLeader -> this
@@ -76,14 +96,16 @@
     }
 
     /** Logs the outcome of a call, with the version of the catalog (the desired state) that it was decided with. */
-    private fun logOutcome(event: String, id: String, result: Submission<WorkloadReply>) {
+    private fun logOutcome(event: String, id: String, outcome: Any, startMillis: Long) {
         val view = runner.view
-        val details = mapOf("outcome" to result, "configuration" to view.state.catalog?.version)
+        val details = mapOf(
+            "outcome" to outcome,
+            "configuration" to view.state.catalog?.version,
+            "tookMillis" to clock.nowMillis() - startMillis,
+        )
         decisions.write(DecisionLogEntry(event, id, details), view.term)
     }
 
-    private fun FleetCall.ChangeCatalog.toCommand() = WorkloadCommand.ChangeCatalog(catalog, document)
-
     private fun WorkloadReply.toAnswer(): FleetAnswer = when (this) {
         is WorkloadReply.NotAdmitted ->
             FleetAnswer.NotAdmitted(reason, returnMillis?.let { maxOf(0, it - clock.nowMillis()) })
--- a/node/src/main/kotlin/org/auburnlever/fleet/FleetClient.kt
+++ b/node/src/main/kotlin/org/auburnlever/fleet/FleetClient.kt
@@ -2,11 +2,13 @@
 
 import com.github.michaelbull.result.Result
 import org.auburnlever.host.HostClock
+import org.auburnlever.host.LeaderAttempt
 import org.auburnlever.host.LeaderClient
 import org.auburnlever.host.LeaderRequest
 import org.auburnlever.host.Submission
 import org.auburnlever.host.SubmitError
 import org.auburnlever.host.decode
+import org.auburnlever.host.with
 import org.auburnlever.model.HostName
 import org.auburnlever.peer.GroupName
 import org.auburnlever.peer.PeerReply
@@ -21,7 +23,8 @@
     transport: PeerTransport,
     private val members: () -> List<HostName>,
     private val local: (suspend (FleetCall) -> Submission<FleetAnswer>)?,
-    clock: HostClock,
+    private val clock: HostClock,
+    private val log: FleetCallLog,
     private val admission: LeaderlessAdmission? = null,
 ) {
     private val hint = LeaderHint()
@@ -32,9 +35,21 @@
      * The error is [SubmitError.NotSubmitted] only if the call can't have had an effect.
      */
     suspend fun ask(call: FleetCall, timeoutMillis: Long): Result<FleetAnswer, SubmitError> {
-        if (admission != null) return admission.ask(call, timeoutMillis)
+        val startMillis = clock.nowMillis()
+        var attempts = emptyList<LeaderAttempt>()
+        val result = admission?.ask(call, timeoutMillis) ?: ask(call, timeoutMillis) { attempts = attempts.with(it) }
+        log.record(call, result, attempts, clock.nowMillis() - startMillis)
+        return result
+    }
+
+    private suspend fun ask(
+        call: FleetCall,
+        timeoutMillis: Long,
+        onAttempt: (LeaderAttempt) -> Unit,
+    ): Result<FleetAnswer, SubmitError> {
         val askLocal = local?.let { answer -> suspend { answer(call).also(::remember) } }
-        val request = LeaderRequest(WORKLOAD_GROUP, askLocal, PeerRequest.Fleet(call), ::isTurnedAway) { reply ->
+        val remote = PeerRequest.Fleet(call)
+        val request = LeaderRequest(WORKLOAD_GROUP, askLocal, remote, ::isTurnedAway, onAttempt) { reply ->
             decode(reply) { (it as? PeerReply.Fleet)?.answer }.also(::remember)
         }
         return leaderClient.ask(request, timeoutMillis, NO_LEADER_TIMEOUT_MILLIS)
--- a/node/src/main/kotlin/org/auburnlever/fleet/FleetMembership.kt
+++ b/node/src/main/kotlin/org/auburnlever/fleet/FleetMembership.kt
@@ -24,6 +24,7 @@
     private val transport: PeerTransport,
     private val settings: FleetSettings,
     private val clock: HostClock,
+    private val report: GroupReport,
 ) {
     private var leadsInTerm = -1L
     private var leadsSinceMillis = 0L
@@ -32,6 +33,7 @@
     suspend fun maintain() {
         while (currentCoroutineContext().isActive) {
             delay(MAINTENANCE_INTERVAL_MILLIS)
+            report.reportIfDue(clock.nowMillis())
             val view = runner.view
             if (view.role == null) {
                 requestAdmission(view.replica)
--- a/node/src/main/kotlin/org/auburnlever/fleet/WorkloadLeader.kt
+++ b/node/src/main/kotlin/org/auburnlever/fleet/WorkloadLeader.kt
@@ -39,8 +39,13 @@
         Coordinator(term, electedMillis, settings.limits, settings.features)
     }
 
+    private val appliedVersions = AppliedVersionLog(decisions)
+
     init {
-        runner.afterBatch = { afterBatch(it) }
+        runner.afterBatch = {
+            appliedVersions.record(it)
+            afterBatch(it)
+        }
     }
 
     /** Whether this host leads and has applied all that was committed before its term. */
--- a/node/src/main/kotlin/org/auburnlever/host/GroupRunner.kt
+++ b/node/src/main/kotlin/org/auburnlever/host/GroupRunner.kt
@@ -1,5 +1,6 @@
 package org.auburnlever.host
 
+import io.github.oshai.kotlinlogging.KotlinLogging
 import kotlinx.coroutines.CompletableDeferred
 import org.auburnlever.codec.Bytes
 import org.auburnlever.consensus.Membership
@@ -14,6 +15,8 @@
 import java.util.concurrent.atomic.AtomicLong
 import kotlin.concurrent.thread
 
+private val logger = KotlinLogging.logger {}
+
 /** Functions of the host that a [GroupRunner] calls. */
 internal interface GroupContext {
     /** Sends [message] without a guarantee of delivery. */
@@ -38,7 +41,7 @@
     private val clock: HostClock,
 ) {
     private val inbox = LinkedBlockingQueue<GroupInput<S, R>>()
-    private val queuedBytes = AtomicLong()
+    private val commandBytes = AtomicLong()
     private val driver = ReplicaDriver(group, opened, initialMembership, stateMachine, groupContext, clock.nowMillis())
     private var lastTickMillis = 0L
 
@@ -53,6 +56,12 @@
     var view: GroupView<S> = driver.view()
         private set
 
+    /** Inputs that wait for the decision thread. */
+    val queuedInputs: Int get() = inbox.size
+
+    /** Size of the commands that wait for the decision thread. */
+    val queuedBytes: Long get() = commandBytes.get()
+
     private val decisionThread = thread(start = false, name = "group-$group", isDaemon = true) {
         while (running) runBatch(nextBatch())
     }
@@ -83,10 +92,10 @@
      */
     fun propose(command: Bytes): CompletableDeferred<Submission<R>> {
         val result = CompletableDeferred<Submission<R>>()
-        if (queuedBytes.addAndGet(command.size.toLong()) <= MAX_QUEUED_BYTES) {
+        if (commandBytes.addAndGet(command.size.toLong()) <= MAX_QUEUED_BYTES) {
             inbox.add(GroupInput.Propose(command, result))
         } else {
-            queuedBytes.addAndGet(-command.size.toLong())
+            commandBytes.addAndGet(-command.size.toLong())
             result.complete(Submission.Refused("the command queue of group $group is full"))
         }
         return result
@@ -118,7 +127,7 @@
         val batch = ArrayList<GroupInput<S, R>>()
         inbox.poll(TICK_MILLIS, TimeUnit.MILLISECONDS)?.let { batch += it }
         inbox.drainTo(batch, MAX_BATCH)
-        queuedBytes.addAndGet(-batch.sumOf { (it as? GroupInput.Propose)?.command?.size?.toLong() ?: 0L })
+        commandBytes.addAndGet(-batch.sumOf { (it as? GroupInput.Propose)?.command?.size?.toLong() ?: 0L })
         return batch
     }
 
@@ -131,6 +140,10 @@
         } else {
             running = false
         }
+        val tookMillis = clock.nowMillis() - nowMillis
+        if (tookMillis >= SLOW_BATCH_MILLIS) {
+            logger.warn { "group $group: a batch of ${batch.size} inputs took $tookMillis ms; ${inbox.size} more wait" }
+        }
     }
 
     private fun tickIfDue(nowMillis: Long): List<ReplicaInput> {
@@ -141,6 +154,9 @@
 
     private companion object {
         const val TICK_MILLIS = 50L
+
+        /** Half of the shortest election timeout; a leader whose batches take longer may lose its leadership. */
+        const val SLOW_BATCH_MILLIS = 250L
         const val MAX_BATCH = 512
 
         /** A tenth of the heap, as a burst of large answers could otherwise exhaust the memory of the process. */
--- a/node/src/main/kotlin/org/auburnlever/host/LeaderClient.kt
+++ b/node/src/main/kotlin/org/auburnlever/host/LeaderClient.kt
@@ -20,12 +20,14 @@
  * @property local asks this host's replica
  * @property remote the request to send to another host
  * @property turnedAway whether a reply says that the command was not carried out and may be tried again later
+ * @property onAttempt receives each attempt when it has ended
  */
 internal class LeaderRequest<T>(
     val group: GroupName,
     val local: (suspend () -> Submission<T>)?,
     val remote: PeerRequest,
     val turnedAway: (T) -> Boolean = { false },
+    val onAttempt: (LeaderAttempt) -> Unit = {},
     val decode: (PeerReply) -> Submission<T>,
 )
 
@@ -56,16 +58,25 @@
             LeaderSearch(startMillis + timeoutMillis, startMillis + minOf(timeoutMillis, noLeaderTimeoutMillis))
         var result: Result<T, SubmitError>? = null
         while (result == null && search.canRetry(clock.nowMillis())) {
-            result = attempt(request, search)
+            result = attempt(request, search, startMillis)
             if (result == null) delay(RETRY_INTERVAL_MILLIS)
         }
         return result ?: Err(search.error(request.group))
     }
 
-    private suspend fun <T> attempt(request: LeaderRequest<T>, search: LeaderSearch): Result<T, SubmitError>? {
+    private suspend fun <T> attempt(
+        request: LeaderRequest<T>,
+        search: LeaderSearch,
+        callStartMillis: Long,
+    ): Result<T, SubmitError>? {
+        val attemptMillis = clock.nowMillis()
         val target = target(request, search)
-        val answer = if (target == null) Submission.NotLeader(null) else ask(request, target, search)
-        search.recordAttempt(target, answer, clock.nowMillis())
+        val outcome = if (target == null) UNREACHABLE else ask(request, target, search)
+        val answer = outcome.answer
+        val nowMillis = clock.nowMillis()
+        search.recordAttempt(target, answer, nowMillis)
+        val startMillis = attemptMillis - callStartMillis
+        request.onAttempt(LeaderAttempt(target, startMillis, nowMillis - attemptMillis, outcome.summary))
         return when (answer) {
             is Submission.Applied -> applied(request, answer.reply, search)
             is Submission.Refused -> Err(search.refusal(request.group, answer.message))
@@ -81,19 +92,27 @@
         request: LeaderRequest<T>,
         target: HostName,
         search: LeaderSearch,
-    ): Submission<T> {
+    ): AttemptOutcome<T> {
         val attemptTimeoutMillis = minOf(search.remainingMillis(clock.nowMillis()), ATTEMPT_TIMEOUT_MILLIS)
         val local = request.local
         if (target == directory.self.host && local != null) {
-            return withTimeoutOrNull(attemptTimeoutMillis) { local() }
+            val answer = withTimeoutOrNull(attemptTimeoutMillis) { local() }
                 ?: Submission.Undecided("no decision within $attemptTimeoutMillis ms")
+            return AttemptOutcome(answer)
         }
         return peers.call(target, request.remote, attemptTimeoutMillis).fold(
-            { request.decode(it) },
-            { if (it is CallError.NotSent) Submission.NotLeader(null) else Submission.Undecided(it.message) },
+            { AttemptOutcome(request.decode(it)) },
+            { error ->
+                when (error) {
+                    is CallError.NotSent -> AttemptOutcome(Submission.NotLeader(null), "not sent: ${error.message}")
+                    is CallError.NoReply -> AttemptOutcome(Submission.Undecided(error.message))
+                }
+            },
         )
     }
 
+    private class AttemptOutcome<out T>(val answer: Submission<T>, val summary: String = answer.summary())
+
     /** Returns the host named as leader if it is reachable and has not failed; else the next replica in turn. */
     private fun target(request: LeaderRequest<*>, search: LeaderSearch): HostName? {
         val reachable = directory.reachable() + listOfNotNull(directory.self.host.takeIf { request.local != null })
@@ -103,6 +122,8 @@
     }
 
     private companion object {
+        val UNREACHABLE = AttemptOutcome(Submission.NotLeader(null), "no replica is reachable")
+
         /** Shorter than an election, so that a new leader is found soon after its election. */
         const val RETRY_INTERVAL_MILLIS = 50L
 
--- a/node/src/main/kotlin/org/auburnlever/transport/Link.kt
+++ b/node/src/main/kotlin/org/auburnlever/transport/Link.kt
@@ -1,5 +1,6 @@
 package org.auburnlever.transport
 
+import io.github.oshai.kotlinlogging.KotlinLogging
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.ExperimentalCoroutinesApi
 import kotlinx.coroutines.channels.Channel
@@ -14,6 +15,8 @@
 import org.auburnlever.peer.PeerMessage
 import java.util.concurrent.TimeUnit
 
+private val logger = KotlinLogging.logger {}
+
 /** One authenticated connection to [peer], used in both directions until it fails or no frame arrives for too long. */
 internal class Link(
     val peer: HostName,
@@ -41,8 +44,12 @@
      */
     fun offer(message: PeerMessage, beginWrite: () -> Boolean = { true }): Boolean {
         val payload = Codec.encode(message).toByteArray()
-        return payload.size <= FrameChannel.MAX_FRAME_BYTES &&
-            outgoing.trySend(OutgoingFrame(payload, beginWrite)).isSuccess
+        if (payload.size > FrameChannel.MAX_FRAME_BYTES) {
+            counters.oversizedMessages.increment()
+            logger.warn { "a message of ${payload.size} bytes to $peer exceeds the frame limit and is dropped" }
+            return false
+        }
+        return outgoing.trySend(OutgoingFrame(payload, beginWrite)).isSuccess
     }
 
     /** Reads and writes frames until the link ends; [onMessage] gets each message received. */
--- a/node/src/main/kotlin/org/auburnlever/transport/LinkCounters.kt
+++ b/node/src/main/kotlin/org/auburnlever/transport/LinkCounters.kt
@@ -10,6 +10,7 @@
     val refusedHandshakes: Counter = registry.counter("auburn.link.handshake.refused")
     val brokenFrames: Counter = registry.counter("auburn.link.frames.broken")
     val droppedMessages: Counter = registry.counter("auburn.link.messages.dropped")
+    val oversizedMessages: Counter = registry.counter("auburn.link.messages.oversized")
     val lateReplies: Counter = registry.counter("auburn.link.replies.late")
     val sentBytes: Counter = registry.counter("auburn.link.sent.bytes")
     val receivedBytes: Counter = registry.counter("auburn.link.received.bytes")
--- a/node/src/test/kotlin/org/auburnlever/host/LeaderClientTest.kt
+++ b/node/src/test/kotlin/org/auburnlever/host/LeaderClientTest.kt
@@ -91,6 +91,41 @@
         assertIs<SubmitError.Undecided>(runBlocking { client.ask(request, TIMEOUT_MILLIS) }.getError())
     }
 
+    /** Guards against an order without an answer of which no log tells who was asked, when, and what each said. */
+    @Test
+    fun `each attempt is reported with its host and answer`() {
+        val answers = listOf<Result<PeerReply, CallError>>(
+            Err(CallError.NotSent("too large")),
+            Ok(PeerReply.NotLeader(hosts[2], term = 7)),
+            Err(CallError.NoReply("no reply within 5 ms")),
+            Ok(PeerReply.Ok),
+        )
+        val peers = FakePeers(hosts, answers)
+        val client = LeaderClient(peers, peers, { null }, { hosts }, HostClock())
+        val attempts = ArrayList<LeaderAttempt>()
+        val request = LeaderRequest(
+            GroupName("workload"),
+            null,
+            PeerRequest.FleetMembers(),
+            onAttempt = { attempts += it },
+        ) { reply -> decode(reply) { "done" } }
+        assertEquals(Ok("done"), runBlocking { client.ask(request, TIMEOUT_MILLIS) })
+        val expected = listOf(
+            hosts[0] to "not sent: too large",
+            hosts[1] to "not the leader, names three of term 7",
+            hosts[2] to "undecided: no reply within 5 ms",
+            hosts[2] to "applied",
+        )
+        assertEquals(expected, attempts.map { it.host to it.answer })
+    }
+
+    @Test
+    fun `attempts with the same host and answer are reported as one`() {
+        val attempts = listOf(0L, 50L, 100L).map { LeaderAttempt(hosts[0], it, tookMillis = 10, "refused") }
+        val merged = attempts.fold(emptyList<LeaderAttempt>()) { list, attempt -> list.with(attempt) }
+        assertEquals(listOf("one at 0 ms for 110 ms: refused (3 attempts)"), merged.map { "$it" })
+    }
+
     private fun submit(peers: FakePeers): Result<LedgerReply, SubmitError> {
         val leaderClient = LeaderClient(peers, peers, { null }, { hosts }, HostClock())
         val client = ClusterLedgerClient(leaderClient) { null }
