Append commands that are too large for one entry in parts

Callers saw: a valid desired state with 1,400 routes more got 503 from every host at each attempt and was never acknowledged, and neither was any later one while these routes stayed.

Cause: a command may have 512 KiB, since its entry has to fit into one message. The interface accepts bodies of 4 MiB, and a command holds the desired state twice. 1,443 queues make 542,942 bytes. The refusal was answered with 503, which tells the operator to send the same again. Class of fault: an order that is accepted at the edge is refused for ever by an inner limit that is lower.

Evidence: trace of the untouched code: 41 attempts, each "the command is too large for a log entry".

Change: the leader appends such a command as consecutive entries of 128 KiB in one step, and it takes effect with the last one. Without that, because the leader was replaced, the parts have no effect, and the first entry of the next leader ends them. Commands up to 512 KiB are stored as before, so replicas of older builds understand all that they could store before; they can't decode a command in parts. A larger message instead would hold back heartbeats on a slow link until the next election. A command may now have 12 MiB, which covers a body of 4 MiB with the shortest names.

--- a/core/src/main/kotlin/org/auburnlever/consensus/LogEntry.kt
+++ b/core/src/main/kotlin/org/auburnlever/consensus/LogEntry.kt
@@ -16,6 +16,16 @@
     @SerialName("command")
     data class Command(val command: Bytes) : EntryPayload
 
+    /**
+     * One of the consecutive entries that hold a command which is too large for one message.
+     *
+     * The command takes effect at the index of the part with [last]. All parts have the same term; without the last
+     * one, the others have no effect.
+     */
+    @Serializable
+    @SerialName("commandPart")
+    data class CommandPart(val part: Int, val last: Boolean, val data: Bytes) : EntryPayload
+
     /** Replaces the group's membership from this index on. */
     @Serializable
     @SerialName("membership")
--- a/core/src/main/kotlin/org/auburnlever/consensus/Proposals.kt
+++ b/core/src/main/kotlin/org/auburnlever/consensus/Proposals.kt
@@ -1,12 +1,18 @@
 package org.auburnlever.consensus
 
+import org.auburnlever.codec.Bytes
+
 internal fun StepScope.onPropose(input: ReplicaInput.Propose) {
     val leader = leaderState
     when {
         leader == null -> reject(input.proposalId, RejectionReason.NOT_LEADER)
         leader.transfer != null -> reject(input.proposalId, RejectionReason.LEADERSHIP_LOST)
-        input.command.size > state.settings.maxBatchBytes -> reject(input.proposalId, RejectionReason.TOO_LARGE)
-        else -> accept(input.proposalId, EntryPayload.Command(input.command))
+        input.command.size > state.settings.maxCommandBytes -> reject(input.proposalId, RejectionReason.TOO_LARGE)
+        else -> {
+            val payloads = payloadsOf(input.command, state.settings)
+            payloads.dropLast(1).forEach { appendAsLeader(it) }
+            accept(input.proposalId, payloads.last())
+        }
     }
 }
 
@@ -14,3 +20,17 @@
     val entry = appendAsLeader(payload)
     emit(ReplicaEffect.Accepted(proposalId, entry.index, entry.term))
 }
+
+/**
+ * Returns the payloads that hold [command].
+ *
+ * A message with the whole of a large command would keep heartbeats waiting on a slow link until the next election.
+ */
+private fun payloadsOf(command: Bytes, settings: ReplicaSettings): List<EntryPayload> {
+    if (command.size <= settings.maxBatchBytes) return listOf(EntryPayload.Command(command))
+    val starts = 0 until command.size step settings.commandPartBytes
+    return starts.mapIndexed { part, start ->
+        val end = minOf(start + settings.commandPartBytes, command.size)
+        EntryPayload.CommandPart(part, last = end == command.size, command.slice(start, end))
+    }
+}
--- a/core/src/main/kotlin/org/auburnlever/consensus/ReplicaEffect.kt
+++ b/core/src/main/kotlin/org/auburnlever/consensus/ReplicaEffect.kt
@@ -15,8 +15,8 @@
     data class Restore(val snapshot: Snapshot) : ReplicaEffect
 
     /**
-     * Reports that a proposal was appended at [index] in [term]; its outcome is known when an entry at [index] is
-     * applied.
+     * Reports that a proposal was appended at [index], or with its last part there, in [term]; its
+     * outcome is known when an entry at [index] is applied.
      *
      * If that entry has [term], it is the proposal's; otherwise the proposal has no effect. If a [Restore] to [index]
      * or later comes first, the outcome stays unknown.
@@ -52,7 +52,7 @@
     /** The voters that answer the leader would not be a majority after the change. */
     WOULD_LOSE_QUORUM,
 
-    /** The command exceeds the size limit of one message. */
+    /** The command exceeds the size limit of a command. */
     TOO_LARGE,
 
     /** The incarnation to replace still answers, so its disk is not lost. */
--- a/core/src/main/kotlin/org/auburnlever/consensus/ReplicaLog.kt
+++ b/core/src/main/kotlin/org/auburnlever/consensus/ReplicaLog.kt
@@ -94,6 +94,7 @@
 internal val LogEntry.sizeBytes: Int
     get() = ENTRY_OVERHEAD_BYTES + when (payload) {
         is EntryPayload.Command -> payload.command.size
+        is EntryPayload.CommandPart -> payload.data.size
         is EntryPayload.Members -> MEMBERSHIP_BYTES
         EntryPayload.Empty -> 0
     }
--- a/core/src/main/kotlin/org/auburnlever/consensus/ReplicaSettings.kt
+++ b/core/src/main/kotlin/org/auburnlever/consensus/ReplicaSettings.kt
@@ -8,6 +8,10 @@
 
 // Peer frames are limited to 1 MiB; half of that leaves space for the encoding and for one entry of the largest size.
 private const val MAX_BATCH_BYTES = 512 * KIB
+
+// An order of 4 MiB, the largest that the HTTP interface accepts, has fields with longer names in its command.
+private const val MAX_COMMAND_BYTES = 12 * KIB * KIB
+private const val COMMAND_PART_BYTES = 128 * KIB
 private const val MAX_BATCH_ENTRIES = 200
 private const val MAX_IN_FLIGHT_MESSAGES = 4
 private const val SNAPSHOT_CHUNK_BYTES = 64 * KIB
@@ -29,7 +33,9 @@
  * @property electionTimeoutMaxMillis longest election timeout; a leader steps down if no majority answered it within
  *     this time
  * @property witnessTimeoutFactor factor of a witness's election timeout, so that voters usually start elections first
- * @property maxBatchBytes size limit of the entries of one message, and of one command
+ * @property maxBatchBytes size limit of the entries of one message, and of a command in one entry
+ * @property maxCommandBytes size limit of a command
+ * @property commandPartBytes size of the parts of a command that is too large for one entry
  * @property maxBatchEntries limit of the number of entries of one message
  * @property maxInFlightMessages limit of the messages with entries that a peer has not answered yet
  * @property snapshotChunkBytes size limit of one chunk of a snapshot in transfer
@@ -46,6 +52,8 @@
     val electionTimeoutMaxMillis: Long = ELECTION_TIMEOUT_MAX_MILLIS,
     val witnessTimeoutFactor: Int = WITNESS_TIMEOUT_FACTOR,
     val maxBatchBytes: Int = MAX_BATCH_BYTES,
+    val maxCommandBytes: Int = MAX_COMMAND_BYTES,
+    val commandPartBytes: Int = COMMAND_PART_BYTES,
     val maxBatchEntries: Int = MAX_BATCH_ENTRIES,
     val maxInFlightMessages: Int = MAX_IN_FLIGHT_MESSAGES,
     val snapshotChunkBytes: Int = SNAPSHOT_CHUNK_BYTES,
--- a/core/src/test/kotlin/org/auburnlever/consensus/Cluster.kt
+++ b/core/src/test/kotlin/org/auburnlever/consensus/Cluster.kt
@@ -6,9 +6,18 @@
 
 private const val ADMISSION_INTERVAL_MILLIS = 400L
 
-/** Small limits, so that short runs reach snapshots, full in-flight windows and snapshots of several chunks. */
+private const val MAX_BATCH_BYTES = 256
+private const val LARGE_COMMAND_CHARACTERS = 300
+private const val LARGE_COMMAND_INTERVAL = 5
+
+/**
+ * Small limits, so that short runs reach snapshots, full in-flight windows, snapshots of several chunks and commands in
+ * several parts.
+ */
 internal val SMALL_LIMITS = ReplicaSettings(
     maxBatchEntries = 3,
+    maxBatchBytes = MAX_BATCH_BYTES,
+    commandPartBytes = 70,
     maxInFlightMessages = 2,
     snapshotChunkBytes = 25,
     snapshotAfterEntries = 12,
@@ -17,12 +26,16 @@
     seed = 0,
 )
 
-/** A group of simulated hosts with [members] as its first members; [spares] are formatted, but not members. */
+/**
+ * A group of simulated hosts with [members] as its first members; [spares] are formatted, but not members. With
+ * [largeCommands], every fifth proposal is too large for one entry.
+ */
 internal class Cluster(
     seed: Long,
     members: Map<String, ReplicaRole>,
     spares: List<String> = emptyList(),
     settings: ReplicaSettings = SMALL_LIMITS,
+    private val largeCommands: Boolean = false,
 ) {
     val random = Random(seed)
     val network = SimulatedNetwork(random)
@@ -60,7 +73,8 @@
     fun advanceFor(millis: Long) = repeat((millis / 20).toInt()) { advance(20) }
 
     fun propose(host: SimulatedHost): Long = nextId++.also {
-        host.submit(ReplicaInput.Propose(it, Bytes.of("$it")))
+        val characters = if (largeCommands && it % LARGE_COMMAND_INTERVAL == 0L) LARGE_COMMAND_CHARACTERS else 0
+        host.submit(ReplicaInput.Propose(it, Bytes.of("$it".padEnd(characters))))
     }
 
     fun read(host: SimulatedHost) = nextId++.let {
--- a/core/src/test/kotlin/org/auburnlever/consensus/HistoryChecker.kt
+++ b/core/src/test/kotlin/org/auburnlever/consensus/HistoryChecker.kt
@@ -12,6 +12,12 @@
     private val rejectedIds = mutableSetOf<Long>()
     private val minReadIndexes = mutableMapOf<Long, Long>()
     private var completedIndex = 0L
+    private var assembly = CommandAssembly()
+    private val commands = mutableListOf<Long?>()
+
+    /** Number of commands that took effect with the last of several parts. */
+    var commandsInParts = 0
+        private set
 
     val commitIndex: Long get() = committed.size.toLong()
     val completedWrites: Long get() = completedIndex
@@ -43,14 +49,23 @@
         return digestAt(entry.index)
     }
 
+    /** Checks that the command that takes effect on a replica with the entry at [index] is that of the whole log. */
+    fun checkCommand(index: Long, command: Long?) {
+        val expected = commands[index.toInt() - 1]
+        check(command == expected) { "a replica applied command $command at $index instead of $expected" }
+    }
+
     fun digestAt(index: Long): Long = digests[index.toInt()]
 
     private fun recordCommitted(entry: LogEntry, term: Long) {
         committed += entry
         commitTerms += term
         digests += digests.last() * 31 + entry.hashCode()
-        val command = (entry.payload as? EntryPayload.Command)?.command ?: return
-        val id = command.decodeToString().toLong()
+        val id = assembly.commandAt(entry.payload)?.decodeToString()?.trim()?.toLong()
+        assembly = assembly.after(entry.payload)
+        commands += id
+        if (id == null) return
+        if (entry.payload is EntryPayload.CommandPart) commandsInParts++
         check(appliedIds.add(id)) { "proposal $id was applied twice" }
         check(id !in rejectedIds) { "proposal $id was rejected and applied" }
     }
--- a/core/src/test/kotlin/org/auburnlever/consensus/ReplicaTest.kt
+++ b/core/src/test/kotlin/org/auburnlever/consensus/ReplicaTest.kt
@@ -26,6 +26,32 @@
         assertTrue(ReplicaEffect.ReadConfirmed(8, index = 2) in read.effects)
     }
 
+    /** Guards against a command that is refused at each attempt although the interface accepted it. */
+    @Test
+    fun `a command that is too large for one entry takes effect with its last part`() {
+        val command = Bytes(ByteArray(700_000) { it.toByte() })
+        val started = startReplica(a, EMPTY_LOG, voters(a), ReplicaSettings(seed = 1), nowMillis = 0).state
+        val elected = started.step(ReplicaInput.Tick, nowMillis = 2_000).state
+        val proposed = elected.step(ReplicaInput.Propose(7, command), nowMillis = 2_001)
+        assertTrue(ReplicaEffect.Accepted(7, index = 7, term = 1) in proposed.effects, "one empty entry and six parts")
+        val entries = proposed.effects.filterIsInstance<ReplicaEffect.Apply>().flatMap { it.entries }
+        val commands = entries.runningFold(CommandAssembly()) { assembly, entry -> assembly.after(entry.payload) }
+            .zip(entries) { assembly, entry -> assembly.commandAt(entry.payload) }
+        assertEquals(List(5) { null } + command, commands)
+    }
+
+    /** Guards against half a command that takes effect after the leader that appended it was replaced. */
+    @Test
+    fun `parts without the last one have no effect`() {
+        val lost = listOf(part(0, "a"), part(1, "b"), EntryPayload.Empty)
+        val next = listOf(part(0, "c"), EntryPayload.CommandPart(1, last = true, Bytes.of("d")))
+        val assembly = lost.fold(CommandAssembly()) { before, payload -> before.after(payload) }
+        assertEquals(null, assembly.commandAt(EntryPayload.CommandPart(2, last = true, Bytes.of("d"))))
+        assertEquals(Bytes.of("cd"), assembly.after(next.first()).commandAt(next.last()))
+    }
+
+    private fun part(part: Int, text: String) = EntryPayload.CommandPart(part, last = false, Bytes.of(text))
+
     /** Guards against a host that lost its disk and votes in place of its old incarnation. */
     @Test
     fun `a newer incarnation neither votes nor starts an election before it is admitted`() {
--- a/core/src/test/kotlin/org/auburnlever/consensus/ScheduleTest.kt
+++ b/core/src/test/kotlin/org/auburnlever/consensus/ScheduleTest.kt
@@ -48,6 +48,7 @@
         spares = listOf("d"),
         // A narrow range of election timeouts makes replicas start elections at the same time.
         settings = SMALL_LIMITS.copy(electionTimeoutMaxMillis = if (random.nextBoolean()) 1_000 else 540),
+        largeCommands = true,
     )
     private var lostDisks = 0
 
@@ -65,6 +66,7 @@
 
     fun counts() = mapOf(
         "committed" to cluster.history.commitIndex.toInt(),
+        "commands in parts" to cluster.history.commandsInParts,
         "reads" to cluster.history.confirmedReads,
         "elections" to cluster.history.elections,
         "restores" to cluster.hosts.sumOf { it.restoreCount },
--- a/core/src/test/kotlin/org/auburnlever/consensus/SimulatedHost.kt
+++ b/core/src/test/kotlin/org/auburnlever/consensus/SimulatedHost.kt
@@ -26,6 +26,7 @@
         private set
     private var disk = SimulatedDisk()
     private var digest = 0L
+    private var assembly = CommandAssembly()
     private var unsynced: List<ReplicaEffect>? = null
     private val inputs = mutableListOf<ReplicaInput>()
     private val accepted = mutableMapOf<Long, Long>()
@@ -37,6 +38,7 @@
         state = step.state
         appliedIndex = 0
         digest = 0
+        assembly = CommandAssembly()
         release(step.effects, nowMillis)
     }
 
@@ -67,7 +69,8 @@
         inputs += arrived
         val before = state
         if (before == null || unsynced != null) return
-        val snapshot = ReplicaInput.SnapshotTaken(appliedIndex, snapshotState()).takeIf { before.snapshotDue }
+        val snapshot = ReplicaInput.SnapshotTaken(appliedIndex, snapshotState())
+            .takeIf { before.snapshotDue && !assembly.isIncomplete }
         val step = before.stepAll(inputs + ReplicaInput.Tick + listOfNotNull(snapshot), nowMillis)
         inputs.clear()
         state = step.state
@@ -98,6 +101,8 @@
         check(entry.index == appliedIndex + 1) { "$id applies entry ${entry.index} after entry $appliedIndex" }
         appliedIndex = entry.index
         digest = history.recordApplied(entry, running)
+        history.checkCommand(entry.index, assembly.commandAt(entry.payload)?.decodeToString()?.trim()?.toLong())
+        assembly = assembly.after(entry.payload)
         if (accepted.remove(entry.index) == entry.term) history.recordCompleted(entry.index)
     }
 
@@ -106,6 +111,7 @@
         check(index == snapshot.lastIndex && value == history.digestAt(index)) { "$id restored wrong state at $index" }
         appliedIndex = index
         digest = value
+        assembly = CommandAssembly()
         restoreCount++
     }
 
--- a/node/src/main/kotlin/org/auburnlever/host/ReplicaDriver.kt
+++ b/node/src/main/kotlin/org/auburnlever/host/ReplicaDriver.kt
@@ -2,7 +2,7 @@
 
 import com.github.michaelbull.result.onFailure
 import io.github.oshai.kotlinlogging.KotlinLogging
-import org.auburnlever.consensus.EntryPayload
+import org.auburnlever.consensus.CommandAssembly
 import org.auburnlever.consensus.LogEntry
 import org.auburnlever.consensus.Membership
 import org.auburnlever.consensus.ReplicaEffect
@@ -36,6 +36,7 @@
     val pending = PendingSubmissions<S, R>()
     private var state = stateMachine.initial
     private var appliedIndex = 0L
+    private var assembly = CommandAssembly()
     private var replica: ReplicaState
 
     init {
@@ -48,7 +49,8 @@
     /** Processes [inputs] as one batch and takes a snapshot if one is due; false if the log can't be written. */
     fun run(inputs: List<ReplicaInput>, nowMillis: Long): Boolean {
         val stored = inputs.isEmpty() || carryOut(replica.stepAll(inputs, nowMillis))
-        if (!stored || !replica.snapshotDue) return stored
+        // A snapshot has no place for the parts of a command that are applied already.
+        if (!stored || !replica.snapshotDue || assembly.isIncomplete) return stored
         val snapshotTaken = ReplicaInput.SnapshotTaken(appliedIndex, stateMachine.encode(state))
         return carryOut(replica.stepAll(listOf(snapshotTaken), nowMillis))
     }
@@ -104,14 +106,12 @@
     }
 
     private fun apply(entry: LogEntry) {
-        val payload = entry.payload
-        val reply = if (payload is EntryPayload.Command) {
-            val applied = stateMachine.apply(state, entry.index, payload.command)
+        val reply = assembly.commandAt(entry.payload)?.let { command ->
+            val applied = stateMachine.apply(state, entry.index, command)
             state = applied.state
             applied.reply
-        } else {
-            null
         }
+        assembly = assembly.after(entry.payload)
         appliedIndex = entry.index
         pending.onApplied(entry, reply)
     }
@@ -119,6 +119,7 @@
     private fun restore(effect: ReplicaEffect.Restore) {
         state = stateMachine.decode(effect.snapshot.state)
         appliedIndex = effect.snapshot.lastIndex
+        assembly = CommandAssembly()
         pending.onRestored(appliedIndex)
     }
 }
