Accept a command larger than the queue's limit while no other one waits

Cause: commands are refused while 4 MiB of them wait for a group. One that is larger by itself was refused at every attempt; a desired state near the limit of the interface becomes one of 7 MiB.

Change: the only command in the queue is accepted whatever its size.

Result: GroupRunnerTest proposes 5 MiB to an empty queue, which was refused before ("the command queue of group test is full"), and reads it back after a restart.

--- a/node/src/main/kotlin/org/auburnlever/host/GroupRunner.kt
+++ b/node/src/main/kotlin/org/auburnlever/host/GroupRunner.kt
@@ -88,11 +88,13 @@
 
     /**
      * Proposes [command]. The result completes once the command is applied, certainly has no effect, or can't be told
-     * any more. The command is refused if the queued commands would exceed [MAX_QUEUED_BYTES].
+     * any more. The command is refused if the queued commands would exceed [MAX_QUEUED_BYTES], unless it is the only one:
+     * a command that no attempt could queue would be refused for ever.
      */
     fun propose(command: Bytes): CompletableDeferred<Submission<R>> {
         val result = CompletableDeferred<Submission<R>>()
-        if (commandBytes.addAndGet(command.size.toLong()) <= MAX_QUEUED_BYTES) {
+        val queuedBytes = commandBytes.addAndGet(command.size.toLong())
+        if (queuedBytes <= MAX_QUEUED_BYTES || queuedBytes == command.size.toLong()) {
             inbox.add(GroupInput.Propose(command, result))
         } else {
             commandBytes.addAndGet(-command.size.toLong())
--- a/node/src/test/kotlin/org/auburnlever/host/GroupRunnerTest.kt
+++ b/node/src/test/kotlin/org/auburnlever/host/GroupRunnerTest.kt
@@ -54,6 +54,19 @@
         Unit
     }
 
+    /** Guards against a command that is refused at each attempt, as it exceeds the limit of the queue by itself. */
+    @Test
+    fun `a command that exceeds the limit of the queue is accepted by an empty queue`() = runBlocking {
+        LogStore.format(folder, host)
+        val started = start()
+        retryUntilLeader { started.read().await() }
+        val huge = Bytes(ByteArray(HUGE_BYTES) { 'x'.code.toByte() })
+        assertEquals(Submission.Applied(HUGE_BYTES), started.propose(huge).await())
+        started.stop()
+        val again = start()
+        assertEquals(Submission.Applied("x".repeat(HUGE_BYTES)), retryUntilLeader { again.read().await() })
+    }
+
     private fun start(): GroupRunner<String, Int> = open().also { it.start() }
 
     private fun open(): GroupRunner<String, Int> {
@@ -97,6 +110,7 @@
 
     private companion object {
         const val LARGE_BYTES = 262_144
+        const val HUGE_BYTES = 5 * 1_024 * 1_024
         const val COMMANDS_WITHIN_LIMIT = 16
         const val WAIT_MILLIS = 10_000L
     }
