Send messages that exceed a frame in parts

Callers saw: a desired state with 6,000 queues was acknowledged by the host that leads, but got 503 or 504 from the others, and one over 1 MiB could be read from the leader only.

Cause: a link drops messages over 1 MiB, and the caller learned only that nothing was sent, which looks like a host without a link. Orders that are passed on and replies to reads went that way.

Messages up to 1 MiB are sent as before; a host of an older build closes a link on which it gets a part.

--- a/core/src/main/kotlin/org/auburnlever/peer/PeerMessage.kt
+++ b/core/src/main/kotlin/org/auburnlever/peer/PeerMessage.kt
@@ -2,6 +2,7 @@
 
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
+import org.auburnlever.codec.Bytes
 import org.auburnlever.consensus.ReplicaId
 import org.auburnlever.consensus.ReplicaMessage
 import org.auburnlever.model.HostName
@@ -37,6 +38,11 @@
     @SerialName("reply")
     data class Reply(val callId: Long, val reply: PeerReply) : PeerMessage
 
+    /** A part of a message that exceeds the limit of a frame; the parts follow each other on the link. */
+    @Serializable
+    @SerialName("part")
+    data class Part(val last: Boolean, val data: Bytes) : PeerMessage
+
     /** Gossip that a host sends to all others every 500 ms; [sentMillis] is the sending time by its monotonic clock. */
     @Serializable
     @SerialName("gossip")
--- a/node/src/main/kotlin/org/auburnlever/transport/FrameChannel.kt
+++ b/node/src/main/kotlin/org/auburnlever/transport/FrameChannel.kt
@@ -57,7 +57,7 @@
     }
 
     companion object {
-        /** Largest payload of a frame. */
+        /** Largest payload of a frame; larger messages are sent in parts. */
         const val MAX_FRAME_BYTES = 1_048_576
         private const val MAX_HANDSHAKE_BYTES = 1_024
     }
--- a/node/src/main/kotlin/org/auburnlever/transport/Link.kt
+++ b/node/src/main/kotlin/org/auburnlever/transport/Link.kt
@@ -44,9 +44,9 @@
      */
     fun offer(message: PeerMessage, beginWrite: () -> Boolean = { true }): Boolean {
         val payload = Codec.encode(message).toByteArray()
-        if (payload.size > FrameChannel.MAX_FRAME_BYTES) {
+        if (payload.size > MessageParts.MAX_MESSAGE_BYTES) {
             counters.oversizedMessages.increment()
-            logger.warn { "a message of ${payload.size} bytes to $peer exceeds the frame limit and is dropped" }
+            logger.warn { "a message of ${payload.size} bytes to $peer exceeds the limit and is dropped" }
             return false
         }
         return outgoing.trySend(OutgoingFrame(payload, beginWrite)).isSuccess
@@ -98,11 +98,16 @@
 
     private suspend fun write(frame: OutgoingFrame) {
         if (!frame.beginWrite()) return
-        frames.write(frame.payload, sendAuthenticator)
-        counters.sentBytes.increment(frame.payload.size.toDouble())
+        for (payload in MessageParts.split(frame.payload)) {
+            frames.write(payload, sendAuthenticator)
+            counters.sentBytes.increment(payload.size.toDouble())
+            // Each part has to leave at once, since the peer closes a link on which it hears nothing.
+            if (payload !== frame.payload) frames.flush()
+        }
     }
 
     private suspend fun readFrames(onMessage: (PeerMessage) -> Unit) {
+        val parts = MessageParts()
         while (true) {
             val payload = withTimeoutOrNull(RECEIVE_TIMEOUT_MILLIS) { frames.read(receiveAuthenticator) }
             if (payload == null) {
@@ -111,7 +116,7 @@
             }
             lastReceivedNanos = System.nanoTime()
             counters.receivedBytes.increment(payload.size.toDouble())
-            if (payload.isNotEmpty()) onMessage(Codec.decode(Bytes(payload)))
+            if (payload.isNotEmpty()) parts.receive(Codec.decode(Bytes(payload)))?.let(onMessage)
         }
     }
 
--- a/node/src/main/kotlin/org/auburnlever/transport/LinkListener.kt
+++ b/node/src/main/kotlin/org/auburnlever/transport/LinkListener.kt
@@ -59,6 +59,7 @@
             is PeerMessage.Gossip -> handler.onGossip(message)
             is PeerMessage.Call -> launch { answer(link, message) }
             is PeerMessage.Reply -> counters.lateReplies.increment()
+            is PeerMessage.Part -> throw FrameException("a part of a message holds another part")
         }
     }
 
--- a/node/src/test/kotlin/org/auburnlever/transport/PeerTransportTest.kt
+++ b/node/src/test/kotlin/org/auburnlever/transport/PeerTransportTest.kt
@@ -4,6 +4,8 @@
 import com.github.michaelbull.result.getError
 import io.micrometer.core.instrument.simple.SimpleMeterRegistry
 import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.async
+import kotlinx.coroutines.awaitAll
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.runBlocking
 import kotlinx.coroutines.withTimeout
@@ -13,6 +15,7 @@
 import org.auburnlever.peer.PeerMessage
 import org.auburnlever.peer.PeerReply
 import org.auburnlever.peer.PeerRequest
+import org.auburnlever.workload.FleetCall
 import java.net.ServerSocket
 import kotlin.test.AfterTest
 import kotlin.test.Test
@@ -78,6 +81,42 @@
         Unit
     }
 
+    /** Guards against a request or reply that is dropped at each attempt, as it exceeds the limit of a frame. */
+    @Test
+    fun `a request and a reply of several megabytes arrive beside small ones`() = runBlocking {
+        val caller = startTransport(first, second, key("a"), FixedReplyHandler())
+        startTransport(second, first, key("a"), EchoHandler)
+        awaitLink(caller, second)
+        val texts = listOf(LARGE_BYTES, 10, LARGE_BYTES + 1, FrameChannel.MAX_FRAME_BYTES).map { "x".repeat(it) }
+        val replies = texts.map { text -> async { caller.call(second.host, departure(text), CALL_MILLIS) } }.awaitAll()
+        assertEquals(texts.map { Ok(PeerReply.Document(it)) }, replies)
+        assertEquals(2.0, registry.counter("auburn.link.opened").count(), "no link was closed")
+    }
+
+    /** Guards against a message that breaks the link instead of being refused. */
+    @Test
+    fun `a message beyond the limit is not sent and the link stays open`() = runBlocking {
+        val caller = startTransport(first, second, key("a"), FixedReplyHandler())
+        startTransport(second, first, key("a"), EchoHandler)
+        awaitLink(caller, second)
+        val tooLarge = departure("x".repeat(MessageParts.MAX_MESSAGE_BYTES))
+        assertIs<CallError.NotSent>(caller.call(second.host, tooLarge, CALL_MILLIS).getError())
+        assertEquals(1.0, registry.counter("auburn.link.messages.oversized").count())
+        assertEquals(Ok(PeerReply.Document("a")), caller.call(second.host, departure("a"), CALL_MILLIS))
+    }
+
+    private fun departure(worker: String) = PeerRequest.Fleet(FleetCall.WorkerLeft(worker))
+
+    /** Replies with the worker's id of a departure. */
+    private object EchoHandler : PeerHandler {
+        override fun onConsensus(message: PeerMessage.Consensus) = Unit
+
+        override fun onGossip(gossip: PeerMessage.Gossip) = Unit
+
+        override suspend fun onCall(from: HostName, request: PeerRequest, timeoutMillis: Long): PeerReply =
+            PeerReply.Document(((request as PeerRequest.Fleet).call as FleetCall.WorkerLeft).workerId)
+    }
+
     private suspend fun awaitOpened(links: Int) =
         withTimeout(WAIT_MILLIS) {
             while (registry.counter("auburn.link.opened").count() < links) delay(POLL_MILLIS)
@@ -111,6 +150,7 @@
 
     private companion object {
         const val CALL_MILLIS = 2_000L
+        const val LARGE_BYTES = 3_000_000
         const val WAIT_MILLIS = 10_000L
         const val POLL_MILLIS = 10L
     }
