--- a/node/src/main/kotlin/org/auburnlever/host/GroupRunner.kt
+++ b/node/src/main/kotlin/org/auburnlever/host/GroupRunner.kt
@@ -88,8 +88,8 @@
 
     /**
      * Proposes [command]. The result completes once the command is applied, certainly has no effect, or can't be told
-     * any more. The command is refused if the queued commands would exceed [MAX_QUEUED_BYTES], unless it is the only one:
-     * a command that no attempt could queue would be refused for ever.
+     * any more. The command is refused if the queued commands would exceed [MAX_QUEUED_BYTES], unless it is the only
+     * one: a command that no attempt could queue would be refused for ever.
      */
     fun propose(command: Bytes): CompletableDeferred<Submission<R>> {
         val result = CompletableDeferred<Submission<R>>()
@@ -127,9 +127,14 @@
 
     private fun nextBatch(): List<GroupInput<S, R>> {
         val batch = ArrayList<GroupInput<S, R>>()
-        inbox.poll(TICK_MILLIS, TimeUnit.MILLISECONDS)?.let { batch += it }
-        inbox.drainTo(batch, MAX_BATCH)
-        commandBytes.addAndGet(-batch.sumOf { (it as? GroupInput.Propose)?.command?.size?.toLong() ?: 0L })
+        var batchBytes = 0L
+        var next = inbox.poll(TICK_MILLIS, TimeUnit.MILLISECONDS)
+        while (next != null) {
+            batch += next
+            batchBytes += (next as? GroupInput.Propose)?.command?.size ?: 0
+            next = if (batch.size < MAX_BATCH && batchBytes < MAX_BATCH_BYTES) inbox.poll() else null
+        }
+        commandBytes.addAndGet(-batchBytes)
         return batch
     }
 
@@ -161,6 +166,9 @@
         const val SLOW_BATCH_MILLIS = 250L
         const val MAX_BATCH = 512
 
+        /** A batch is encoded as one record of the log, for which its commands are copied several times. */
+        const val MAX_BATCH_BYTES = 1_024 * 1_024
+
         /** A tenth of the heap, as a burst of large answers could otherwise exhaust the memory of the process. */
         const val MAX_QUEUED_BYTES = 4L * 1_024 * 1_024
         const val STOP_TIMEOUT_MILLIS = 2_000L
--- a/node/src/main/kotlin/org/auburnlever/transport/MessageParts.kt
+++ b/node/src/main/kotlin/org/auburnlever/transport/MessageParts.kt
@@ -7,8 +7,8 @@
 /**
  * Joins the parts of messages that exceed the limit of a frame, as they arrive on one link.
  *
- * Each part is a frame of its own, so the receiver hears from the sender while a large message is on its way over a slow
- * link, and does not take the link for broken.
+ * Each part is a frame of its own, so the receiver hears from the sender while a large message is on its way over a
+ * slow link, and does not take the link for broken.
  */
 internal class MessageParts {
     private var parts = emptyList<Bytes>()
