Acknowledge resent desired states from the applied state

Cause: each resend of a desired state went through the log again. With 1,445 queues an order takes about 0.8 s at the leader, so a few resends in quick succession take longer than an operator's call, and each of them is sent again. Without a leader an order that had been accepted could not be acknowledged again at all.

Change: a control host acknowledges a desired state whose version is not higher than the one that it has applied. What a replica has applied is committed, and the version never goes down, so no later command changes that answer. Everything else still goes to the leader.

ApplyWorkloadTest checks which calls are settled.

--- a/core/src/main/kotlin/org/auburnlever/workload/state/ReadWorkload.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/state/ReadWorkload.kt
@@ -17,3 +17,14 @@
     },
     { FleetAnswer.NotAdmitted(it) },
 )
+
+/**
+ * Returns the answer to [call] if this applied state decides it for good, whatever later commands change; else null.
+ *
+ * That is so for a desired state whose version is not higher than the applied one. Operators resend orders whose
+ * acknowledgement was lost, and a large one would take the whole way through the log again.
+ */
+fun WorkloadState.settledAnswer(call: FleetCall): FleetAnswer? {
+    val appliedVersion = catalog?.version ?: return null
+    return if (call is FleetCall.ChangeCatalog && call.catalog.version <= appliedVersion) FleetAnswer.Done else null
+}
--- a/core/src/test/kotlin/org/auburnlever/workload/state/ApplyWorkloadTest.kt
+++ b/core/src/test/kotlin/org/auburnlever/workload/state/ApplyWorkloadTest.kt
@@ -1,6 +1,9 @@
 package org.auburnlever.workload.state
 
 import org.auburnlever.codec.Codec
+import org.auburnlever.model.DomainName
+import org.auburnlever.workload.FleetAnswer
+import org.auburnlever.workload.FleetCall
 import org.auburnlever.workload.JobStatus
 import org.auburnlever.workload.Workload
 import org.auburnlever.workload.address
@@ -30,6 +33,16 @@
         assertEquals(2, workload.state.catalog?.queues?.size)
     }
 
+    /** Guards against an acknowledgement of a version that is not committed, and of other orders that may be undone. */
+    @Test
+    fun `only a desired state that is not newer than the applied one is settled`() {
+        workload.withCatalog(catalog(version = 5))
+        val calls = listOf(4L, 5L, 6L).map { FleetCall.ChangeCatalog(catalog(version = it), "other") }
+        assertEquals(listOf(FleetAnswer.Done, FleetAnswer.Done, null), calls.map { workload.state.settledAnswer(it) })
+        assertNull(WorkloadState().settledAnswer(calls.first()))
+        assertNull(workload.state.settledAnswer(FleetCall.Evacuate(DomainName("a"))))
+    }
+
     @Test
     fun `a job that arrives twice is one job`() {
         workload.submit("routine", JOB, step(tasks = 1))
--- a/node/src/main/kotlin/org/auburnlever/fleet/ControlHost.kt
+++ b/node/src/main/kotlin/org/auburnlever/fleet/ControlHost.kt
@@ -33,6 +33,8 @@
 import org.auburnlever.transport.PeerHandler
 import org.auburnlever.transport.PeerTransport
 import org.auburnlever.transport.SharedKey
+import org.auburnlever.workload.FleetAnswer
+import org.auburnlever.workload.FleetCall
 import org.auburnlever.workload.state.WorkloadReply
 import org.auburnlever.workload.state.WorkloadState
 import java.io.IOException
@@ -78,7 +80,7 @@
     val client = FleetClient(
         transport,
         peers::members,
-        { call -> components?.callHandler?.handle(call) ?: Submission.NotLeader(null) },
+        ControlReplica(),
         clock,
         FleetCallLog(registry),
     )
@@ -158,6 +160,13 @@
         end.complete(Err(message))
     }
 
+    private inner class ControlReplica : LocalReplica {
+        override suspend fun handle(call: FleetCall): Submission<FleetAnswer> =
+            components?.callHandler?.handle(call) ?: Submission.NotLeader(null)
+
+        override fun state(): WorkloadState? = components?.runner?.view?.state
+    }
+
     private inner class ControlGroupContext : GroupContext {
         override fun send(group: GroupName, from: ReplicaId, to: ReplicaId, message: ReplicaMessage) =
             transport.send(to.host, PeerMessage.Consensus(group, from, to, message))
--- a/node/src/main/kotlin/org/auburnlever/fleet/FleetClient.kt
+++ b/node/src/main/kotlin/org/auburnlever/fleet/FleetClient.kt
@@ -1,5 +1,6 @@
 package org.auburnlever.fleet
 
+import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
 import org.auburnlever.host.HostClock
 import org.auburnlever.host.LeaderAttempt
@@ -17,12 +18,23 @@
 import org.auburnlever.workload.FleetAnswer
 import org.auburnlever.workload.FleetCall
 import org.auburnlever.workload.state.Inadmissible
+import org.auburnlever.workload.state.WorkloadState
+import org.auburnlever.workload.state.settledAnswer
 
-/** Calls the leader of the workload group from any host. */
+/** The replica of the workload group on a control host. */
+internal interface LocalReplica {
+    /** Handles [call] if the replica leads. */
+    suspend fun handle(call: FleetCall): Submission<FleetAnswer>
+
+    /** Returns the state that the replica has applied; null before it has started. */
+    fun state(): WorkloadState?
+}
+
+/** Calls the leader of the workload group from any host; [local] is null on hosts without a replica. */
 class FleetClient internal constructor(
     transport: PeerTransport,
     private val members: () -> List<HostName>,
-    private val local: (suspend (FleetCall) -> Submission<FleetAnswer>)?,
+    private val local: LocalReplica?,
     private val clock: HostClock,
     private val log: FleetCallLog,
     private val admission: LeaderlessAdmission? = null,
@@ -37,7 +49,9 @@
     suspend fun ask(call: FleetCall, timeoutMillis: Long): Result<FleetAnswer, SubmitError> {
         val startMillis = clock.nowMillis()
         var attempts = emptyList<LeaderAttempt>()
-        val result = admission?.ask(call, timeoutMillis) ?: ask(call, timeoutMillis) { attempts = attempts.with(it) }
+        val result = local?.state()?.settledAnswer(call)?.let { Ok(it) }
+            ?: admission?.ask(call, timeoutMillis)
+            ?: ask(call, timeoutMillis) { attempts = attempts.with(it) }
         log.record(call, result, attempts, clock.nowMillis() - startMillis)
         return result
     }
@@ -47,7 +61,7 @@
         timeoutMillis: Long,
         onAttempt: (LeaderAttempt) -> Unit,
     ): Result<FleetAnswer, SubmitError> {
-        val askLocal = local?.let { answer -> suspend { answer(call).also(::remember) } }
+        val askLocal = local?.let { replica -> suspend { replica.handle(call).also(::remember) } }
         val remote = PeerRequest.Fleet(call)
         val request = LeaderRequest(WORKLOAD_GROUP, askLocal, remote, ::isTurnedAway, onAttempt) { reply ->
             decode(reply) { (it as? PeerReply.Fleet)?.answer }.also(::remember)
