--- a/node/src/main/kotlin/org/auburnlever/fleet/FleetClient.kt
+++ b/node/src/main/kotlin/org/auburnlever/fleet/FleetClient.kt
@@ -44,19 +44,20 @@
 
     /**
      * Sends [call] to the leader and retries until it answers or [timeoutMillis] have passed; every call is idempotent.
-     * The error is [SubmitError.NotSubmitted] only if the call can't have had an effect.
+     * A call that the replica of this host can answer for good is not sent. The error is [SubmitError.NotSubmitted]
+     * only if the call can't have had an effect.
      */
     suspend fun ask(call: FleetCall, timeoutMillis: Long): Result<FleetAnswer, SubmitError> {
         val startMillis = clock.nowMillis()
         var attempts = emptyList<LeaderAttempt>()
         val result = local?.state()?.settledAnswer(call)?.let { Ok(it) }
             ?: admission?.ask(call, timeoutMillis)
-            ?: ask(call, timeoutMillis) { attempts = attempts.with(it) }
+            ?: askLeader(call, timeoutMillis) { attempts = attempts.with(it) }
         log.record(call, result, attempts, clock.nowMillis() - startMillis)
         return result
     }
 
-    private suspend fun ask(
+    private suspend fun askLeader(
         call: FleetCall,
         timeoutMillis: Long,
         onAttempt: (LeaderAttempt) -> Unit,
