Deflate commands and messages from 128 KiB on

Callers saw: on another deployment the first addition of 1,400 routes was acknowledged 6.6 s after it was sent and the next change after 11 s.

Cause: its queues have shorter names, so 1,445 of them make a command just below 512 KiB, which was still stored and sent as it is. The leader of term 1 lost its majority at 7.15 s, before any host was killed, while it sent that command.

Change: commands and messages over 128 KiB are deflated and sent in parts, whatever fits into one entry or frame. Smaller ones are sent as before. Replicas of older builds can't decode parts, so with desired states over 128 KiB all control hosts have to be of this build.

Result: tests of consensus, transport and LargeConfigurationTest pass.

--- a/core/src/main/kotlin/org/auburnlever/consensus/LogEntry.kt
+++ b/core/src/main/kotlin/org/auburnlever/consensus/LogEntry.kt
@@ -17,7 +17,7 @@
     data class Command(val command: Bytes) : EntryPayload
 
     /**
-     * One of the consecutive entries that hold a command which is too large for one message; the [data] of all of them
+     * One of the consecutive entries that hold a command which is too large for a single one; the [data] of all of them
      * together is the deflated command.
      *
      * The command takes effect at the index of the part with [last]. All parts have the same term; without the last
--- a/core/src/main/kotlin/org/auburnlever/consensus/Proposals.kt
+++ b/core/src/main/kotlin/org/auburnlever/consensus/Proposals.kt
@@ -25,11 +25,11 @@
 /**
  * Returns the payloads that hold [command].
  *
- * A message with the whole of a large command would keep heartbeats waiting on a slow link until the next election, and
- * large commands are mostly text with many repetitions.
+ * Heartbeats wait behind what was sent before them, so a large command sent as it is would cost a leader its majority
+ * on slow links. Large commands are mostly text with many repetitions.
  */
 private fun payloadsOf(command: Bytes, settings: ReplicaSettings): List<EntryPayload> {
-    if (command.size <= settings.maxBatchBytes) return listOf(EntryPayload.Command(command))
+    if (command.size <= settings.commandPartBytes) return listOf(EntryPayload.Command(command))
     val deflated = command.deflated()
     val starts = 0 until deflated.size step settings.commandPartBytes
     return starts.mapIndexed { part, start ->
--- a/core/src/main/kotlin/org/auburnlever/consensus/ReplicaSettings.kt
+++ b/core/src/main/kotlin/org/auburnlever/consensus/ReplicaSettings.kt
@@ -33,9 +33,10 @@
  * @property electionTimeoutMaxMillis longest election timeout; a leader steps down if no majority answered it within
  *     this time
  * @property witnessTimeoutFactor factor of a witness's election timeout, so that voters usually start elections first
- * @property maxBatchBytes size limit of the entries of one message, and of a command in one entry
+ * @property maxBatchBytes size limit of the entries of one message
  * @property maxCommandBytes size limit of a command
- * @property commandPartBytes size of the parts of a command that is too large for one entry
+ * @property commandPartBytes largest command that is stored as it is; a larger one is deflated and split into parts of
+ *     this size
  * @property maxBatchEntries limit of the number of entries of one message
  * @property maxInFlightMessages limit of the messages with entries that a peer has not answered yet
  * @property snapshotChunkBytes size limit of one chunk of a snapshot in transfer
--- a/core/src/main/kotlin/org/auburnlever/peer/PeerMessage.kt
+++ b/core/src/main/kotlin/org/auburnlever/peer/PeerMessage.kt
@@ -38,7 +38,7 @@
     @SerialName("reply")
     data class Reply(val callId: Long, val reply: PeerReply) : PeerMessage
 
-    /** A part of a deflated message that exceeds the limit of a frame; the parts follow each other on the link. */
+    /** A part of a large message, which is deflated; the parts follow each other on the link. */
     @Serializable
     @SerialName("part")
     data class Part(val last: Boolean, val data: Bytes) : PeerMessage
--- a/node/src/main/kotlin/org/auburnlever/transport/MessageParts.kt
+++ b/node/src/main/kotlin/org/auburnlever/transport/MessageParts.kt
@@ -7,7 +7,7 @@
 import org.auburnlever.peer.PeerMessage
 
 /**
- * Joins the parts of messages that exceed the limit of a frame, as they arrive on one link. Such messages are deflated.
+ * Splits large messages into deflated parts, and joins the parts that arrive on one link.
  *
  * Each part is a frame of its own, so the receiver hears from the sender while a large message is on its way over a
  * slow link, and does not take the link for broken.
@@ -39,11 +39,13 @@
     companion object {
         /** Largest encoded message; an order of the largest size has to fit. */
         const val MAX_MESSAGE_BYTES = 16 * 1_024 * 1_024
-        private const val PART_BYTES = 256 * 1_024
+
+        /** Largest message that is sent as it is; a larger one would keep those behind it waiting on a slow link. */
+        private const val PART_BYTES = 128 * 1_024
 
         /** Returns the payloads of the frames that hold the encoded message [payload]. */
         fun split(payload: ByteArray): Sequence<ByteArray> {
-            if (payload.size <= FrameChannel.MAX_FRAME_BYTES) return sequenceOf(payload)
+            if (payload.size <= PART_BYTES) return sequenceOf(payload)
             val deflated = Bytes(payload).deflated()
             return (0 until deflated.size step PART_BYTES).asSequence().map { start ->
                 val end = minOf(start + PART_BYTES, deflated.size)
