Add a review case on tasks that last and fail now and then

Workers on which only tasks that last run are suspended longer at each failure, until all workers of a label are suspended.

--- a/review/standins/review/LastingTasks.java
+++ b/review/standins/review/LastingTasks.java
@@ -10,11 +10,14 @@
 /** Tasks that last fail now and then by their own fault; each must be started again while there is room for it. */
 public final class LastingTasks extends Case {
     static final int MINIONS = 10;
+    static final int MINIONS_OF_KIND_B = 3;
     static final int GPUS = 8;
-    static final int JOBS = 24;
+    static final int JOBS = 12;
     static final long RESTART_MILLIS = 6_000 + 3_000;
     static final long WATCHED_MILLIS = 85_000;
 
+    private boolean broken;
+
     public static void main(String[] arguments) throws Exception {
         new LastingTasks().main(arguments[0]);
     }
@@ -23,7 +26,13 @@
     String run() throws Exception {
         require(deployment.awaitReady(30_000), "the entry hosts are not ready");
         require(deployment.putConfig(config(1, route("r-1", PREFIX)), 0, 20_000).ok(), "no desired state");
-        startMinions(MINIONS, GPUS);
+        for (int i = 0; i < MINIONS; i++) {
+            Minion minion = new Minion("i-" + String.format("%08x", 0x1000 + i), "atelier", Deployment.ZONES.get(i % 3),
+                deployment.minionIp(i), deployment.port, GPUS, List.of(i < MINIONS_OF_KIND_B ? "b" : "a", "r1-" + i / 8),
+                deployment.control, recorder);
+            minions.add(minion);
+            minion.start();
+        }
         Minion.pause(2_500);
         List<String> ids = new ArrayList<>();
         for (int i = 0; i < JOBS; i++) {
@@ -32,7 +41,7 @@
             long workMillis = 20_000 + 20_000L * i / JOBS;
             String spec = trouble ? "work=" + workMillis + " gpus=1 fail=1" : "work=600000 gpus=1";
             String body = "{\"spec\":\"" + spec + "\",\"steps\":[{\"count\":1,\"cpu\":1000,\"memoryRequestMb\":1024,"
-                + "\"gpus\":1,\"estimatedMs\":600000,\"longRunning\":true}]}";
+                + "\"gpus\":1,\"constraints\":\"b\",\"estimatedMs\":600000,\"longRunning\":true}]}";
             require(deployment.submit(HOST, PREFIX + id, KEY, body, 5_000), "a job was not accepted");
             ids.add(id);
         }
@@ -42,7 +51,7 @@
         long endMillis = recorder.millis() + WATCHED_MILLIS;
         while (recorder.millis() < endMillis) {
             Minion.pause(20);
-            int used = minions.stream().mapToInt(Minion::activeCount).sum();
+            int used = minions.subList(0, MINIONS_OF_KIND_B).stream().mapToInt(Minion::activeCount).sum();
             for (String id : ids) {
                 long nowMillis = recorder.millis();
                 if (minions.stream().anyMatch(it -> it.runs(id))) {
@@ -50,7 +59,7 @@
                     lastSeenMillis.put(id, nowMillis);
                 } else if (nowMillis - lastSeenMillis.get(id) > RESTART_MILLIS && late.add(id)) {
                     recorder.write("task of " + id + " has not run for " + (nowMillis - lastSeenMillis.get(id))
-                        + " ms; " + used + " of " + MINIONS * GPUS + " GPUs are in use");
+                        + " ms; " + used + " of " + MINIONS_OF_KIND_B * GPUS + " GPUs are in use");
                     broken = true;
                 }
             }
@@ -59,5 +68,4 @@
         return broken ? "LOST: a task that lasts was not started again for 9 s, with room for it many times" : null;
     }
 
-    private boolean broken;
 }
