--- a/review/standins/review/Minion.java
+++ b/review/standins/review/Minion.java
@@ -95,7 +95,7 @@
     /** Starts a new life under the same id and address. */
     synchronized void start() throws IOException {
         if (up) return;
-        server = HttpServer.create(new InetSocketAddress(ip, port), 64);
+        server = HttpServer.create(new InetSocketAddress(ip, serverPort()), 64);
         executor = Executors.newCachedThreadPool(task -> {
             Thread thread = new Thread(task);
             thread.setDaemon(true);
@@ -142,6 +142,19 @@
         return (System.nanoTime() - bornNanos) / 1_000_000L;
     }
 
+    /** Called when a run begins here; for subclasses. */
+    void onBegin(String task, long run) {
+    }
+
+    /** Called when an end that was listed is taken note of; for subclasses. */
+    void onAcknowledged(String task, long run, String how) {
+    }
+
+    /** The port that the server listens on; another one than the reported one if a proxy stands before it. */
+    int serverPort() {
+        return port;
+    }
+
     /** Whether the minion answers starts with 503 and does nothing for them, while its pings go on. */
     volatile boolean unhealthy;
 
@@ -214,6 +227,7 @@
         if (used + needed > gpus) return refused(task, run, "room");
         active.put(task, new Active(task, run, field(spec, "work", 1000), field(spec, "fail", 0) > 0, needed));
         recorder.write("minion " + id + " begins " + task + "#" + run);
+        onBegin(task, run);
         return null;
     }
 
@@ -241,7 +255,12 @@
         if (number(order, "fencingToken") < fence) return "fence";
         fence = number(order, "fencingToken");
         if (order.get("deadlineMs") != null) extendLease(number(order, "deadlineMs"));
-        ended.headMap(number(order, "ackedThrough"), true).clear();
+        Map<Long, List<Object>> acknowledged = ended.headMap(number(order, "ackedThrough"), true);
+        acknowledged.values().forEach(it -> {
+            recorder.write("minion " + id + " forgets the end of " + it.get(1) + "#" + it.get(2) + ": " + it.get(3));
+            onAcknowledged((String) it.get(1), (Long) it.get(2), (String) it.get(3));
+        });
+        acknowledged.clear();
         long life = bornMillis;
         long waitMillis = order.get("waitMs") == null ? 0 : Math.min(2000, number(order, "waitMs"));
         long untilNanos = System.nanoTime() + waitMillis * 1_000_000L;
