Record which rule keeps which room from waiting steps

A waiting job could not be explained: `fleet` counts the workers that a plan may use and leaves out those that are suspended, stalled or warming up, and no line tells what is reserved. A plan now lists the room that it keeps, with the rule, the worker, the owner and the end of the rule where it has one. Suspensions for failures and for runs without progress are told apart.

--- a/core/src/main/kotlin/org/auburnlever/workload/Coordinator.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/Coordinator.kt
@@ -8,6 +8,7 @@
 import org.auburnlever.workload.evacuation.progress
 import org.auburnlever.workload.evacuation.startingWorkers
 import org.auburnlever.workload.evacuation.withholdEvacuated
+import org.auburnlever.workload.holds.leftOutWorkers
 import org.auburnlever.workload.interference.Interference
 import org.auburnlever.workload.interference.PollRound
 import org.auburnlever.workload.interference.handleInterference
@@ -232,6 +233,7 @@
             durations = state.durations(features),
             leavingPercent = leavingPercent(workers.values, nowMillis),
             preemption = preemption,
+            leftOut = leftOutWorkers(state, progress, nowMillis),
         )
         val plan = planWork(input, nowMillis)
         preemption = preemption.after(plan).also { logDenials(preemption, it) }
--- a/core/src/main/kotlin/org/auburnlever/workload/evacuation/WorkerWarmUp.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/evacuation/WorkerWarmUp.kt
@@ -1,5 +1,7 @@
 package org.auburnlever.workload.evacuation
 
+import org.auburnlever.workload.holds.HoldRule
+import org.auburnlever.workload.holds.LeftOutWorker
 import org.auburnlever.workload.planning.RunProgress
 import org.auburnlever.workload.planning.START_MILLIS
 import org.auburnlever.workload.planning.needOf
@@ -45,6 +47,20 @@
         }
     }
 
+    /** Returns those of [workers] that may not be used whole yet. */
+    fun leftOut(workers: List<WorkerView>): List<LeftOutWorker> =
+        workers.zip(limit(workers)).mapNotNull { (whole, limited) ->
+            val capacity = whole.report?.capacity
+            val kept = limited.report?.capacity?.let { capacity?.minus(it) }
+            val ended = whole.report?.let { returning[it.failureDomain] }
+            if (kept == null || kept == Resources.NONE || ended == null) {
+                null
+            } else {
+                val owner = "${whole.report.failureDomain}"
+                LeftOutWorker(whole, HoldRule.WARM_UP, kept, owner, ended.endMillis + MAX_WARM_UP_MILLIS)
+            }
+        }
+
     private fun observe(workers: List<WorkerView>): Map<String, Observations> {
         val endMillisById = workers.mapNotNull { view ->
             view.report?.let { returning[it.failureDomain] }?.let { view.ref.id to it.endMillis }
--- a/core/src/main/kotlin/org/auburnlever/workload/planning/FleetCapacity.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/planning/FleetCapacity.kt
@@ -1,12 +1,15 @@
 package org.auburnlever.workload.planning
 
 import org.auburnlever.model.ServiceName
+import org.auburnlever.workload.holds.HoldRule
+import org.auburnlever.workload.holds.RoomHold
 import org.auburnlever.workload.runs.WorkerReport
 import org.auburnlever.workload.runs.WorkerView
 import org.auburnlever.workload.state.JobRecord
 import org.auburnlever.workload.state.Resources
 import org.auburnlever.workload.state.TaskId
 import org.auburnlever.workload.state.TaskRecord
+import org.auburnlever.workload.state.TaskRun
 import org.auburnlever.workload.state.WorkerRef
 import org.auburnlever.workload.state.record
 import org.auburnlever.workload.state.runsAlone
@@ -31,6 +34,10 @@
 
     fun allocate(amount: Resources) = setFree(free - amount)
 
+    /** Returns what is free as a hold. */
+    fun hold(rule: HoldRule, owner: String, untilMillis: Long?) =
+        RoomHold(ref.id, rule, owner, free.atLeastNone(), untilMillis)
+
     /** Allocates all that is free, so that no other task is placed here. */
     fun allocateRest() = setFree(free.atMostNone())
 
@@ -45,6 +52,8 @@
     private fun Resources.atMostNone() =
         Resources(minOf(milliCores, 0), minOf(memoryMiB, 0), minOf(accelerators, 0))
 
+    private fun Resources.atLeastNone() = this - atMostNone()
+
     private fun setFree(amount: Resources) {
         undoLog.record(this, free)
         free = amount
@@ -102,6 +111,9 @@
     }
     private val byId = workers.associateBy { it.ref.id }
 
+    /** Room that running tasks keep from other jobs. */
+    val holds = ArrayList<RoomHold>()
+
     fun worker(id: String): WorkerCapacity? = byId[id]
 
     /** Returns the workers of [service] with the label [constraint], without those whose ids are in [except]. */
@@ -122,16 +134,21 @@
         /** Computes the resources of [views] that the assigned tasks of [jobs] leave free at [nowMillis]. */
         fun of(views: Collection<WorkerView>, jobs: Collection<JobRecord>, nowMillis: Long): FleetCapacity {
             val fleet = FleetCapacity(views)
-            val withTaskAlone = LinkedHashSet<WorkerCapacity>()
+            val withTaskAlone = LinkedHashMap<WorkerCapacity, Pair<TaskId, TaskRecord>>()
             for (job in jobs) {
                 for ((id, task) in job.assigned()) {
                     val worker = task.worker?.let { fleet.worker(it.id) } ?: continue
                     worker.allocate(job.needOf(id))
                     if (job.spec.steps[id.step].longRunning) worker.hasLongRunningTask = true
-                    if (task.keepsWorker(nowMillis)) withTaskAlone += worker
+                    if (task.keepsWorker(nowMillis)) withTaskAlone[worker] = id to task
                 }
             }
-            withTaskAlone.forEach { it.allocateRest() }
+            withTaskAlone.forEach { (worker, idAndTask) ->
+                val (id, task) = idAndTask
+                val untilMillis = task.assignedMillis + ALONE_MILLIS
+                fleet.holds += worker.hold(HoldRule.SUSPECTED_RUN, "${TaskRun(id, task.run)}", untilMillis)
+                worker.allocateRest()
+            }
             return fleet
         }
     }
--- a/core/src/main/kotlin/org/auburnlever/workload/planning/PlanningInput.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/planning/PlanningInput.kt
@@ -4,6 +4,7 @@
 import org.auburnlever.model.DomainName
 import org.auburnlever.workload.SchedulingFeature
 import org.auburnlever.workload.WorkloadLimits
+import org.auburnlever.workload.holds.LeftOutWorker
 import org.auburnlever.workload.interference.NeighbourEvidence
 import org.auburnlever.workload.learning.DeclaredDurations
 import org.auburnlever.workload.learning.DurationForecast
@@ -29,6 +30,7 @@
  * @property protectedRuns runs that must not be stopped for other work
  * @property leavingPercent share of the workers of each failure domain that are leaving; 0 if a domain is absent
  * @property preemption budget of what preemptions may discard
+ * @property leftOut reachable workers that are not among [workers], or there with a part of their capacity
  */
 data class PlanningInput(
     val jobs: Collection<JobRecord>,
@@ -45,4 +47,5 @@
     val protectedRuns: Set<TaskRun> = emptySet(),
     val leavingPercent: Map<DomainName, Int> = emptyMap(),
     val preemption: PreemptionControl = PreemptionControl(),
+    val leftOut: List<LeftOutWorker> = emptyList(),
 )
--- a/core/src/main/kotlin/org/auburnlever/workload/planning/WaitingStep.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/planning/WaitingStep.kt
@@ -4,6 +4,7 @@
 import org.auburnlever.workload.state.JobRecord
 import org.auburnlever.workload.state.StepId
 import org.auburnlever.workload.state.StepSpec
+import org.auburnlever.workload.state.idleWorkerWaitEndMillis
 
 /**
  * The [tasks] of one step, by index, that wait for workers.
@@ -21,6 +22,10 @@
 ) {
     val priority: Int get() = job.policy.priority
 
+    /** Unix time until which a task of [alone] waits for an idle worker; null without such a task. */
+    val idleWorkerWaitEndMillis: Long?
+        get() = alone.mapNotNull { job.step(id)?.tasks?.get(it) }.maxOfOrNull(spec::idleWorkerWaitEndMillis)
+
     /** Number of the next run; higher than all earlier ones of the step. */
     val nextRun: Int
         get() = (job.step(id)?.tasks?.maxOf { it.run } ?: 0) + 1
--- a/core/src/main/kotlin/org/auburnlever/workload/planning/WorkPlan.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/planning/WorkPlan.kt
@@ -1,6 +1,9 @@
 package org.auburnlever.workload.planning
 
 import org.auburnlever.workload.SchedulingFeature
+import org.auburnlever.workload.holds.HoldRule
+import org.auburnlever.workload.holds.RoomHold
+import org.auburnlever.workload.holds.hold
 import org.auburnlever.workload.learning.DurationForecast
 import org.auburnlever.workload.placement.ScarcePlacement
 import org.auburnlever.workload.preemption.CallerWorth
@@ -26,11 +29,13 @@
  * @property assignments tasks to start
  * @property preemptedFor runs to stop for urgent jobs, each with the step that needs its resources
  * @property preemption what the stops discard, and those that were not permitted; empty without the feature
+ * @property holds free room that the plan keeps from the steps that it leaves waiting
  */
 data class WorkPlan(
     val assignments: List<Assignment>,
     val preemptedFor: Map<TaskRun, StepId>,
     val preemption: PreemptionOutcome = PreemptionOutcome(),
+    val holds: List<RoomHold> = emptyList(),
 ) {
     /** The runs to stop. */
     val preempted: List<TaskRun> get() = preemptedFor.keys.toList()
@@ -46,17 +51,22 @@
     val units = PreemptionUnits(input, guaranteed, nowMillis, if (joint) StopLosses(worth, nowMillis) else null)
     val preemptionPlanner = PreemptionPlanner(fleet, units, sharesFreedRoom = joint)
     val jointPreemption = JointPreemption(preemptionPlanner, rules, worth, input.preemption.budget).takeIf { joint }
+    val reservedForUrgent = if (joint) emptySet() else fleet.workersToReserve(input.urgentReserve)
+    val keptRoom = if (joint) KeptRoom.of(fleet, input, nowMillis) else KeptRoom.NONE
+    val keptForUrgent = (reservedForUrgent + keptRoom.workers).mapNotNull { fleet.worker(it) }
+        .map { it.hold(HoldRule.URGENT_DEMAND, "urgent jobs", untilMillis = null) }
     val planner = WorkPlanner(
         fleet,
         preemptionPlanner,
         rules,
-        reservedForUrgent = if (joint) emptySet() else fleet.workersToReserve(input.urgentReserve),
-        urgentPlanning = jointPreemption?.let { UrgentPlanning(KeptRoom.of(fleet, input, nowMillis), it) },
+        reservedForUrgent,
+        urgentPlanning = jointPreemption?.let { UrgentPlanning(keptRoom, it) },
         scarcity = ScarcePlacement.of(fleet, input, nowMillis),
     )
     input.orderedSteps(input.jobs, guaranteed, nowMillis).forEach(planner::consider)
     planner.preemptForClaims()
-    return WorkPlan(planner.assignments, planner.preemptedFor, jointPreemption?.outcome ?: PreemptionOutcome())
+    val holds = input.leftOut.map { it.hold() } + fleet.holds + keptForUrgent + planner.holds
+    return WorkPlan(planner.assignments, planner.preemptedFor, jointPreemption?.outcome ?: PreemptionOutcome(), holds)
 }
 
 /** Returns the waiting steps of [jobs] in the order in which they are placed. */
--- a/core/src/main/kotlin/org/auburnlever/workload/planning/WorkPlanner.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/planning/WorkPlanner.kt
@@ -1,6 +1,8 @@
 package org.auburnlever.workload.planning
 
 import org.auburnlever.model.ServiceName
+import org.auburnlever.workload.holds.HoldRule
+import org.auburnlever.workload.holds.RoomHold
 import org.auburnlever.workload.placement.ScarcePlacement
 import org.auburnlever.workload.preemption.UrgentClaim
 import org.auburnlever.workload.preemption.UrgentPlanning
@@ -30,11 +32,14 @@
     private val urgentClaims = ArrayList<UrgentClaim>()
     val assignments = ArrayList<Assignment>()
     val preemptedFor = LinkedHashMap<TaskRun, StepId>()
-    private val fitsOneRack = HashMap<List<Any?>, Boolean>()
+    private val racks = RackChoice()
 
     // Two maps, since hashing the ids of the reserved workers at each look-up takes longer than the look-up.
     private val pools = HashMap<Pair<ServiceName, String?>, WorkerPool>()
     private val poolsOfOthers = HashMap<Pair<ServiceName, String?>, WorkerPool>()
+
+    /** Room that this plan keeps from the steps that it leaves waiting. */
+    val holds = ArrayList<RoomHold>()
     private var gangsWithReservation = 0
     private var workersToDrain = 0
 
@@ -64,13 +69,23 @@
     private fun reserveForGang(step: WaitingStep) {
         gangsWithReservation += 1
         val singleTasks = step.with(spec = step.spec.copy(gang = false))
-        val sets = candidateSets(step)
+        val sets = racks.candidateSets(step, pool(step))
         val best = if (scarcity != null) {
             scarcity.fullestSet(singleTasks, sets)
         } else {
             sets.maxByOrNull { candidates -> fleet.trial { place(singleTasks, candidates).size } }
         }
-        if (best != null) place(singleTasks, best, scarcity)
+        if (best != null) holdFor(step, HoldRule.GANG_RESERVATION) { place(singleTasks, best, scarcity) }
+    }
+
+    /** Records the free room that [reserve] allocates for [step]. */
+    private fun holdFor(step: WaitingStep, rule: HoldRule, reserve: () -> Unit) {
+        val before = fleet.workers.associateWith { it.free }
+        reserve()
+        val changed = before.filter { (worker, free) -> free != worker.free }
+        holds += changed.map { (worker, free) ->
+            RoomHold(worker.ref.id, rule, "${step.id}", room = free - worker.free, untilMillis = null)
+        }
     }
 
     /**
@@ -87,6 +102,7 @@
         val count = minOf(step.alone.size - placedCount, MAX_WORKERS_TO_DRAIN - workersToDrain)
         val leastWork = drainable.filter { it.free != Resources.NONE }.sortedByDescending { it.free.weightMilliCores }
         for (worker in leastWork.take(count)) {
+            holds += worker.hold(HoldRule.DRAINED_WORKER, "${step.id}", step.idleWorkerWaitEndMillis)
             worker.allocateRest()
             workersToDrain += 1
         }
@@ -94,7 +110,7 @@
 
     private fun placeNow(step: WaitingStep): Map<Int, WorkerRef> {
         if (pool(step).isFullFor(step.spec.reserved)) return emptyMap()
-        val sets = candidateSets(step)
+        val sets = racks.candidateSets(step, pool(step))
         val fittingSet = if (scarcity != null) scarcity.bestSet(step, sets) else sets.firstOrNull { fits(step, it) }
         return when {
             fittingSet != null -> place(step, fittingSet, scarcity)
@@ -114,40 +130,6 @@
         }
     }
 
-    /**
-     * Returns the sets of workers to try, in order.
-     *
-     * If the step runs faster on a single rack, these are its data rack or else each rack, the fullest first. All
-     * workers together follow only if there are no such racks or the step would not fit into any of them. Tasks that
-     * run alone go wherever a worker is idle.
-     */
-    private fun candidateSets(step: WaitingStep): List<List<WorkerCapacity>> {
-        val pool = pool(step)
-        if (step.alone.isNotEmpty()) return listOf(pool.workers)
-        val dataRack = step.spec.dataRack?.let { pool.racks[it] }
-        val racks = when {
-            dataRack != null -> listOf(dataRack)
-            step.spec.rackSensitive && step.tasks.size > 1 ->
-                pool.racks.values.map { rack -> rack to rack.sumOf { it.free.accelerators } }
-                    .sortedBy { (_, accelerators) -> accelerators }
-                    .map { (rack, _) -> rack }
-            else -> emptyList()
-        }
-        return if (racks.isEmpty() || !fitsOneRack(step, racks)) racks + listOf(pool.workers) else racks
-    }
-
-    /** Returns whether the step would fit into one of [racks] if nothing else ran there. */
-    private fun fitsOneRack(step: WaitingStep, racks: List<List<WorkerCapacity>>): Boolean {
-        val spec = step.spec
-        val kind = listOf(spec.reserved, spec.maxTasksPerWorker, step.tasks.size, spec.dataRack, spec.constraint)
-        return fitsOneRack.getOrPut(kind + step.job.service + (step.priority == URGENT)) {
-            racks.any { rack ->
-                val bound = if (spec.maxTasksPerWorker > 0) spec.maxTasksPerWorker else Int.MAX_VALUE
-                rack.sumOf { minOf(it.report.capacity.count(spec.reserved), bound, step.tasks.size) } >= step.tasks.size
-            }
-        }
-    }
-
     /**
      * Reserves resources for the tasks of [step] beyond the first [placedCount], and stops work that does not end in
      * time. If the rules forbid the stops, the step keeps its reservation until that work ends.
@@ -155,14 +137,14 @@
     private fun preemptFor(step: WaitingStep, placedCount: Int) {
         val missing = step.with(tasks = step.tasks.drop(placedCount))
         if (urgentPlanning != null) {
-            urgentClaims += UrgentClaim(missing, candidateSets(missing), pool(missing).workers)
+            urgentClaims += UrgentClaim(missing, racks.candidateSets(missing, pool(missing)), pool(missing).workers)
             return
         }
         val patienceMillis = rules.patienceMillis(missing)
-        val preemption = preemptionPlanner.find(missing, candidateSets(missing), patienceMillis)
+        val preemption = preemptionPlanner.find(missing, racks.candidateSets(missing, pool(missing)), patienceMillis)
             ?: findAnywhere(missing, patienceMillis)
             ?: return
-        preemptionPlanner.reserve(missing, preemption)
+        holdFor(step, HoldRule.URGENT_STEP) { preemptionPlanner.reserve(missing, preemption) }
         if (rules.permits(missing, preemption)) {
             preemption.stopped.flatMap { it.runs }.forEach { (run, _) -> preemptedFor[run] = step.id }
         }
@@ -171,7 +153,9 @@
     /** Decides the preemptions for all urgent steps considered so far, before other steps take the room. */
     fun preemptForClaims() {
         if (urgentPlanning == null || urgentClaims.isEmpty()) return
-        preemptedFor += urgentPlanning.preemption.decide(urgentClaims)
+        holdFor(urgentClaims.first().step, HoldRule.URGENT_STEP) {
+            preemptedFor += urgentPlanning.preemption.decide(urgentClaims)
+        }
         urgentClaims.clear()
     }
 
--- a/core/src/main/kotlin/org/auburnlever/workload/preemption/KeptRoom.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/preemption/KeptRoom.kt
@@ -20,6 +20,9 @@
 internal class KeptRoom(private val idle: Set<String>, yielding: Set<String>) {
     private val all = idle + yielding
 
+    /** Ids of the workers whose room is kept, from some or all other work. */
+    val workers: Set<String> get() = all
+
     /** Returns the workers that [step] may not be placed on. */
     fun withheldFrom(step: WaitingStep): Set<String> = when {
         step.priority == URGENT -> emptySet()
--- a/core/src/main/kotlin/org/auburnlever/workload/runs/StalledRuns.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/runs/StalledRuns.kt
@@ -17,11 +17,13 @@
     protectedRuns: Set<TaskRun> = emptySet(),
 ) {
     val stalled = runs.filter { (run, view) -> view.stalled(nowMillis) && state.makesProgress(run) }
-    stalled.values.map { it.worker.id }.toSet().mapNotNull { workers[it] }
-        .filter { nowMillis >= it.suspendedUntilMillis }
-        .forEach { view ->
-            logDecision("worker_stalled", view.ref.id, "forMillis" to STALL_MILLIS)
-            put(view.copy(suspendedUntilMillis = nowMillis + AVOID_MILLIS))
+    val runByWorker = stalled.entries.associate { (run, view) -> view.worker.id to run }
+    runByWorker.mapNotNull { (id, run) -> workers[id]?.let { it to run } }
+        .filter { (view, _) -> nowMillis >= view.stalledUntilMillis }
+        .forEach { (view, run) ->
+            val untilMillis = nowMillis + AVOID_MILLIS
+            logDecision("worker_stalled", view.ref.id, "run" to run, "untilMillis" to untilMillis)
+            put(view.copy(stalledUntilMillis = untilMillis, stalledRun = run))
         }
     val urgent = stalled.filterKeys { it !in protectedRuns && state.jobs[it.task.job]?.policy?.priority == URGENT }
     urgent.forEach { (run, view) ->
--- a/core/src/main/kotlin/org/auburnlever/workload/runs/WorkerView.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/runs/WorkerView.kt
@@ -4,6 +4,7 @@
 import org.auburnlever.model.DomainName
 import org.auburnlever.model.ServiceName
 import org.auburnlever.workload.state.Resources
+import org.auburnlever.workload.state.TaskRun
 import org.auburnlever.workload.state.WorkerRef
 
 /**
@@ -45,7 +46,10 @@
  * @property failedPolls number of polls in a row without a list
  * @property failedJobs jobs that failed on the worker since the last success
  * @property suspensions number of suspensions since the last success
- * @property suspendedUntilMillis time before which the worker gets no new work
+ * @property suspendedUntilMillis time before which the worker gets no new work, because runs failed or it refused an
+ *   order
+ * @property stalledUntilMillis time before which the worker gets no new work, because a run makes no progress
+ * @property stalledRun the run that made no progress when [stalledUntilMillis] was set
  * @property refusesConnections whether the newest failed call was refused because nothing listens at the address
  * @property predecessorLeft whether the earlier incarnation under this id drained or left before this one started
  * @property departureMillis when the worker announced its shutdown
@@ -69,6 +73,8 @@
     val failedJobs: Set<String> = emptySet(),
     val suspensions: Int = 0,
     val suspendedUntilMillis: Long = 0,
+    val stalledUntilMillis: Long = 0,
+    val stalledRun: TaskRun? = null,
     val refusesConnections: Boolean = false,
     val predecessorLeft: Boolean = false,
     val departureMillis: Long? = null,
@@ -77,11 +83,14 @@
     /** Whether the worker has announced its shutdown or has ended. */
     val departed: Boolean get() = departureMillis != null || replaced
 
-    /** Returns whether the worker may get new work: it reports, answers, and neither leaves nor is suspended. */
+    /** Returns whether the worker may get new work: it is reachable and not left out because of its runs. */
     fun usable(nowMillis: Long, reportLimitMillis: Long): Boolean =
+        reachable(nowMillis, reportLimitMillis) && nowMillis >= suspendedUntilMillis && nowMillis >= stalledUntilMillis
+
+    /** Returns whether a start can take effect on the worker: it reports, answers, and does not leave. */
+    fun reachable(nowMillis: Long, reportLimitMillis: Long): Boolean =
         report != null && !report.draining && !departed &&
-            nowMillis - lastContactMillis <= reportLimitMillis &&
-            failedCalls == 0 && failedPolls == 0 && nowMillis >= suspendedUntilMillis
+            nowMillis - lastContactMillis <= reportLimitMillis && failedCalls == 0 && failedPolls == 0
 
     /** Returns what the worker's clock shows now, or slightly less, even if it is as slow as it may be. */
     fun clockNowMillis(nowMillis: Long): Long =
--- a/core/src/main/kotlin/org/auburnlever/workload/state/CrashSuspicion.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/state/CrashSuspicion.kt
@@ -9,10 +9,12 @@
 internal val TaskRecord.runsAlone: Boolean get() = crashSuspicion >= ALONE_SUSPICION
 
 /** Returns whether [task] of this step waits for a worker of its own at [nowMillis]; only for a limited time. */
-internal fun StepSpec.waitsForIdleWorker(task: TaskRecord, nowMillis: Long): Boolean {
-    val patienceMillis = if (longRunning) LONG_RUNNING_PATIENCE_MILLIS else PATIENCE_MILLIS
-    return task.runsAlone && nowMillis - task.releasedMillis < patienceMillis
-}
+internal fun StepSpec.waitsForIdleWorker(task: TaskRecord, nowMillis: Long): Boolean =
+    task.runsAlone && nowMillis < idleWorkerWaitEndMillis(task)
+
+/** Returns the Unix time until which [task] of this step waits for a worker of its own, if it runs alone. */
+internal fun StepSpec.idleWorkerWaitEndMillis(task: TaskRecord): Long =
+    task.releasedMillis + if (longRunning) LONG_RUNNING_PATIENCE_MILLIS else PATIENCE_MILLIS
 
 /** Whether so many workers have crashed under the task, twice without another job, that it is not started again. */
 internal val TaskRecord.crashesWorkers: Boolean get() = crashSuspicion >= CRASHING_SUSPICION
