Check in random schedules that no job stands still

The schedules submitted plain jobs only and asked that all end within 80 s of the faults, so they could not find jobs that wait beside free room.

The schedules draw gangs, rack-sensitive gangs, gangs wider than the fleet, long-running, periodic and failing jobs from the seed. StandingJobs observes the workers and applies the rule on standing jobs.

--- a/core/src/test/kotlin/org/auburnlever/workload/CoordinatorScheduleTest.kt
+++ b/core/src/test/kotlin/org/auburnlever/workload/CoordinatorScheduleTest.kt
@@ -6,8 +6,10 @@
 import org.auburnlever.workload.state.EndKind
 import org.auburnlever.workload.state.JobPhase
 import org.auburnlever.workload.state.RunEnd
+import org.auburnlever.workload.state.StepSpec
 import org.auburnlever.workload.state.TaskId
 import org.auburnlever.workload.state.TaskRun
+import org.auburnlever.workload.state.WorkloadCommand
 import org.auburnlever.workload.state.answer
 import org.auburnlever.workload.state.apply
 import org.auburnlever.workload.state.record
@@ -54,6 +56,55 @@
         repeat(SCHEDULES) { seed -> Schedule(seed, WorkerFaults.REPLACEMENTS, tickBeforeReply = true).execute() }
     }
 
+    /** Guards against jobs that stand still beside room for them. */
+    @Test
+    fun `no plain job stands still`() = assertNoneStandsStill(JobKind.PLAIN)
+
+    /** Guards against room that is kept for gangs although they don't need it. */
+    @Test
+    @Tag("known-red")
+    fun `no job stands still beside gangs`() = assertNoneStandsStill(JobKind.GANG)
+
+    /** The same for gangs that run faster on one rack. */
+    @Test
+    @Tag("known-red")
+    fun `no job stands still beside rack-sensitive gangs`() = assertNoneStandsStill(JobKind.RACK_GANG)
+
+    /** Guards against room that is kept for a gang that it can never hold. */
+    @Test
+    @Tag("known-red")
+    fun `no job stands still beside gangs wider than the fleet`() = assertNoneStandsStill(JobKind.WIDE_GANG)
+
+    /** Guards against long-running tasks that are not started again, and against sound workers that are left out. */
+    @Test
+    @Tag("known-red")
+    fun `no long-running task stands still`() = assertNoneStandsStill(JobKind.LONG_RUNNING)
+
+    /** Guards against occurrences that are due and do not start. */
+    @Test
+    fun `no periodic job stands still`() = assertNoneStandsStill(JobKind.PERIODIC)
+
+    /** Guards against sound workers that are left out because tasks fail by their own fault. */
+    @Test
+    @Tag("known-red")
+    fun `no job stands still beside failing ones`() = assertNoneStandsStill(JobKind.FAILING)
+
+    /** Guards against rules that keep room from ready work only when several kinds of jobs meet. */
+    @Test
+    @Tag("known-red")
+    fun `no job of any kind stands still`() = assertNoneStandsStill(*JobKind.entries.drop(1).toTypedArray())
+
+    private fun assertNoneStandsStill(vararg kinds: JobKind) {
+        val seeds = maxOf(System.getProperty("schedule.seeds")?.toInt() ?: 0, SCHEDULES)
+        val violations = (0 until seeds).flatMap { seed ->
+            val faults = if (seed % 2 == 0) WorkerFaults.PARTITIONS else WorkerFaults.REPLACEMENTS
+            val schedule = Schedule(seed, faults, kinds = kinds.toList(), jobCount = JOBS_WITH_KINDS)
+            val standing = runCatching { schedule.execute(LONG_END_MILLIS) }
+            standing.getOrElse { listOf(it.message?.take(MAX_MESSAGE)) }.map { "$faults, seed $seed: $it" }
+        }
+        assertTrue(violations.isEmpty(), violations.joinToString("\n"))
+    }
+
     /** The faults of workers in a schedule; partitions are part of each. */
     private enum class WorkerFaults {
         PARTITIONS,
@@ -76,7 +127,9 @@
         private val seed: Int,
         private val workerFaults: WorkerFaults,
         private val tickBeforeReply: Boolean = false,
-    ) {
+        private val kinds: List<JobKind> = listOf(JobKind.PLAIN),
+        private val jobCount: Int = JOBS,
+    ) : SimulatedFleet {
         private val random = Random(seed)
         private val limits = WorkloadLimits()
         private val events = PriorityQueue<Event>(compareBy({ it.atMillis }, { it.order }))
@@ -84,9 +137,10 @@
         private val completedTasks = HashSet<TaskId>()
 
         // The newest worker at each address.
-        private val workers = MutableList(WORKERS) { index ->
-            SimulatedWorker("$index", random.nextInt(98, 101), ::started, ::acknowledged)
+        override val workers = MutableList(WORKERS) { index ->
+            SimulatedWorker("$index", random.nextInt(98, 101), this, rack = "r${index % RACKS}")
         }
+        private val standing = StandingJobs(START_MILLIS + FAULTS_MILLIS + MAX_EFFECT_MILLIS)
         private val answered = HashSet<Pair<Long, WorkerOrder>>()
         private val history = ArrayList<String>()
         private val partitionedUntilMillis = HashMap<String, Long>()
@@ -95,14 +149,16 @@
         private val nowMillis: Long get() = workload.nowMillis
         private val faulty: Boolean get() = nowMillis < START_MILLIS + FAULTS_MILLIS
 
-        fun execute() {
+        /** Runs the schedule and returns which jobs stood still. */
+        fun execute(endMillis: Long = END_MILLIS): List<StandingJobs.Violation> {
             workers.forEach { it.restart(START_MILLIS) }
             every(REPORT_MILLIS) { workers.forEach { report(it) } }
             every(TICK_MILLIS) { tick(leader) }
             every(STEP_MILLIS) { workers.forEach { it.advance(nowMillis, STEP_MILLIS, ::randomEnd) } }
             every(FAULT_MILLIS) { if (faulty) injectFault() }
-            repeat(JOBS) { job -> at(START_MILLIS + job * JOB_GAP_MILLIS) { submit(job) } }
-            while (events.isNotEmpty() && events.peek().atMillis <= START_MILLIS + END_MILLIS) {
+            every(TICK_MILLIS) { observeStandingJobs() }
+            repeat(jobCount) { job -> at(START_MILLIS + job * JOB_GAP_MILLIS) { submit(job) } }
+            while (events.isNotEmpty() && events.peek().atMillis <= START_MILLIS + endMillis) {
                 val event = events.poll()
                 workload.nowMillis = event.atMillis
                 event.action()
@@ -112,13 +168,22 @@
                 open.isEmpty(),
                 "seed $seed: ${open.map { it.id to it.assigned() }}; ${open.firstOrNull()?.let { historyOf(it.id) }}",
             )
+            return standing.violations
+        }
+
+        private fun observeStandingJobs() {
+            val running = workers.filter { it.running }
+            val usable = running.filter { !it.draining && !isPartitioned(it) && nowMillis >= it.unhealthyUntilMillis }
+            standing.observe(workload.state, running, usable, nowMillis)
         }
 
         private fun submit(job: Int) {
-            val spec = step(tasks = random.nextInt(1, 5), accelerators = random.nextInt(1, 3))
-            val steps = if (random.nextBoolean()) arrayOf(spec, spec.copy(dependsOn = listOf(0))) else arrayOf(spec)
-            workload.submit(if (random.nextInt(4) == 0) "urgent" else "routine", "%016x".format(job), *steps)
+            val kind = kinds.firstOrNull { random.nextInt(it.oneIn) == 0 } ?: JobKind.PLAIN
+            val spec = kind.draw(random, nowMillis)
+            val address = address(if (random.nextInt(4) == 0) "urgent" else "routine", "%016x".format(job))
+            workload.apply(WorkloadCommand.AcceptJob(address, spec))
             leader.coordinator.onChange(nowMillis)
+            if (kind.endless) at(START_MILLIS + CANCEL_MILLIS) { workload.apply(WorkloadCommand.CancelJob(address)) }
         }
 
         private fun injectFault() {
@@ -143,7 +208,7 @@
             record { "worker ${worker.id} ends" }
             at(nowMillis + random.nextLong(MAX_VACANT_MILLIS)) {
                 val id = "${worker.id}.$nowMillis"
-                val next = SimulatedWorker(id, random.nextInt(98, 101), ::started, ::acknowledged, worker.address)
+                val next = SimulatedWorker(id, random.nextInt(98, 101), this, worker.rack, worker.address)
                 next.restart(nowMillis)
                 workers[workers.indexOf(worker)] = next
                 record { "worker $id starts" }
@@ -223,9 +288,10 @@
                 sentMillis < worker.startMillis - MAX_DELIVERY_MILLIS
             if (isPartitioned(worker) || stale) return
             val workMillis = random.nextLong(MAX_WORK_MILLIS)
+            val longRunning = order is WorkerOrder.Start && stepOf(order.run.task).longRunning
             val reply = when {
                 !worker.running -> OrderAnswer.Unknown("connection refused")
-                sameId -> worker.carryOut(order, nowMillis, workMillis)
+                sameId -> worker.carryOut(order, nowMillis, if (longRunning) workMillis * LONG_FACTOR else workMillis)
                 else -> OrderAnswer.OtherIncarnation
             }
             record { "worker ${worker.id} started ${worker.startMillis} receives $order, sent $sentMillis: $reply" }
@@ -249,9 +315,16 @@
 
         private fun isPartitioned(worker: SimulatedWorker) = nowMillis < (partitionedUntilMillis[worker.address] ?: 0)
 
-        private fun randomEnd() = if (random.nextInt(PERCENT) < FAILED_PERCENT) EndKind.FAILED else EndKind.DONE
+        private fun randomEnd(run: TaskRun): EndKind {
+            val failing = workload.job(run.task.job).spec.payload == JobKind.FAILING_PAYLOAD
+            val failedPercent = if (failing) OFTEN_FAILED_PERCENT else FAILED_PERCENT
+            val failed = random.nextInt(PERCENT) < failedPercent || stepOf(run.task).longRunning
+            return if (failed) EndKind.FAILED else EndKind.DONE
+        }
+
+        override fun stepOf(task: TaskId): StepSpec = workload.job(task.job).spec.steps[task.step]
 
-        private fun started(worker: SimulatedWorker, run: TaskRun) {
+        override fun started(worker: SimulatedWorker, run: TaskRun) {
             val others = workers.filter { it !== worker && run.task in it.active }.map { it.id }
             assertEquals(emptyList(), others, "seed $seed at $nowMillis: $run starts on ${worker.id} beside these")
             assertTrue(
@@ -268,7 +341,7 @@
 
         private fun historyOf(name: String): String = history.filter { name in it }.joinToString("\n", "\n")
 
-        private fun acknowledged(end: RunEnd) {
+        override fun acknowledged(end: RunEnd) {
             if (end.kind == EndKind.DONE) completedTasks += end.run.task
         }
 
@@ -291,8 +364,18 @@
 
         /** By then all leases have expired, all late orders have arrived, and the queue is empty. */
         const val END_MILLIS = 120_000L
+
+        /** The same with long-running tasks, which take room from the queue until they are canceled. */
+        const val LONG_END_MILLIS = 200_000L
         const val WORKERS = 5
+        const val RACKS = 2
         const val JOBS = 40
+
+        /** As many as are submitted until the last fault has no effect any more. */
+        const val JOBS_WITH_KINDS = 65
+
+        /** Time at which jobs that do not end by themselves are canceled. */
+        const val CANCEL_MILLIS = 95_000L
         const val JOB_GAP_MILLIS = 800L
         const val REPORT_MILLIS = 1_500L
         const val TICK_MILLIS = 100L
@@ -310,6 +393,9 @@
 
         /** Longer than a lease, so that runs may end with their lease while the worker refuses polls. */
         const val MAX_UNHEALTHY_MILLIS = 12_000L
+
+        /** Longest time for which a fault has an effect: an unhealthy worker or a late message. */
+        const val MAX_EFFECT_MILLIS = 12_000L
         const val DEPOSED_TICKS = 15
         const val COMMIT_MILLIS = 80L
         const val MAX_DELIVERY_MILLIS = 40L
@@ -318,10 +404,15 @@
         const val MAX_LATE_MILLIS = 12_000L
         const val ANSWER_LIMIT_MILLIS = 1_600L
         const val MAX_WORK_MILLIS = 4_000L
+
+        /** Long-running tasks fail within 40 s. */
+        const val LONG_FACTOR = 10
+        const val MAX_MESSAGE = 400
         const val PERCENT = 100
         const val LOST_PERCENT = 8
         const val LATE_PERCENT = 4
         const val LEAVE_LOST_PERCENT = 25
         const val FAILED_PERCENT = 3
+        const val OFTEN_FAILED_PERCENT = 40
     }
 }
