Tell why a waiting job does not start

A waiting job could not be explained from the log: job_waiting lists ten jobs that have never started, without a reason. For each step that waits, the leader now finds the reason from its newest plan, its workers and its runs: room that rules keep, with owner and end, no room, one rack, absent workers by cause, no suitable worker, an idle worker for a suspected task, a gang whose earlier run ends, a silent worker, no plan, a start, earlier steps, the due time.

Every 4 s, and 1.5 s after an election, the steps with the same explanation are logged together (`waiting`, at most 40 lines); once room is kept from a step that has waited for 1 s, and when that changes, it gets a line at once (`job_held`, at most 10 a second). The first summary of a leader now comes after 1.5 s instead of 4 s.

--- a/core/src/main/kotlin/org/auburnlever/workload/Coordinator.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/Coordinator.kt
@@ -8,6 +8,8 @@
 import org.auburnlever.workload.evacuation.progress
 import org.auburnlever.workload.evacuation.startingWorkers
 import org.auburnlever.workload.evacuation.withholdEvacuated
+import org.auburnlever.workload.holds.WaitingFigures
+import org.auburnlever.workload.holds.WaitingReport
 import org.auburnlever.workload.holds.leftOutWorkers
 import org.auburnlever.workload.interference.Interference
 import org.auburnlever.workload.interference.PollRound
@@ -74,6 +76,7 @@
     private var interference = Interference(limits)
     private val admission = LeaderAdmission(features)
     private var preemption = PreemptionControl()
+    private val waiting = WaitingReport(electedMillis + limits.reportMillis)
 
     // Until then, workers may be unknown only because their reports have not come yet.
     private val forecastFromMillis = electedMillis + limits.reportMillis * REPORTS_UNTIL_FORECAST
@@ -82,7 +85,10 @@
     private var nextPlanMillis = electedMillis + limits.reportMillis / 2
     private var lastPlanMillis = 0L
     private var nextForgetMillis = electedMillis
-    private var nextSummaryMillis = electedMillis + SUMMARY_INTERVAL_MILLIS
+    private var nextSummaryMillis = electedMillis + limits.reportMillis
+
+    /** Why steps wait, for metrics. */
+    val waitingFigures: WaitingFigures get() = waiting.figures
 
     /** Handles a worker's report; a report older than the newest known one is ignored. */
     fun onReport(report: WorkerReport, nowMillis: Long): List<CoordinatorEffect> =
@@ -207,7 +213,7 @@
             val command = WorkloadCommand.ForgetJobs(nowMillis - limits.jobRetentionMillis)
             propose(command, ProposalTag.Housekeeping)
         }
-    }
+    } + waiting.report(leader, state, nowMillis)
 
     private fun LeaderState.plan(state: WorkloadState, nowMillis: Long) {
         lastPlanMillis = nowMillis
@@ -235,7 +241,7 @@
             preemption = preemption,
             leftOut = leftOutWorkers(state, progress, nowMillis),
         )
-        val plan = planWork(input, nowMillis)
+        val plan = planWork(input, nowMillis).also { waiting.planned(it, nowMillis) }
         preemption = preemption.after(plan).also { logDenials(preemption, it) }
         if (nowMillis >= forecastFromMillis) {
             val known = workers.values.filterNot { state.forbidsStartsOn(it) }
