Measure what rules keep from waiting steps and why steps wait

The leader's gauges show free accelerators by rule, and waiting steps and the longest wait by reason. They are 0 on hosts that do not lead, so that no earlier leader's figures stay. The figures are read from the coordinator after each batch of the decision thread.

--- a/node/src/main/kotlin/org/auburnlever/fleet/DecisionLog.kt
+++ b/node/src/main/kotlin/org/auburnlever/fleet/DecisionLog.kt
@@ -10,6 +10,9 @@
 
 /** Logs and counts the decisions of the leader, and measures how long workers take to answer orders. */
 internal class DecisionLog(private val registry: MeterRegistry) {
+    /** Gauges of the steps that wait. */
+    val waiting = WaitingGauges(registry)
+
     /** Logs [entry], a decision of the leader in [term]. */
     fun write(entry: DecisionLogEntry, term: Long) {
         registry.counter("auburn.decisions", "event", entry.event).increment()
--- a/node/src/main/kotlin/org/auburnlever/fleet/WorkloadLeader.kt
+++ b/node/src/main/kotlin/org/auburnlever/fleet/WorkloadLeader.kt
@@ -86,8 +86,10 @@
 
     private fun afterBatch(view: GroupView<WorkloadState>) {
         val nowMillis = clock.nowMillis()
-        val current = leadershipTracker.update(view, nowMillis) ?: return
-        val coordinator = current.coordinator ?: return
+        val current = leadershipTracker.update(view, nowMillis)
+        val coordinator = current?.coordinator
+        decisions.waiting.show(coordinator?.waitingFigures)
+        if (current == null || coordinator == null) return
         leadershipTracker.confirmIfDue(current, nowMillis)
         if (view.appliedIndex != current.processedIndex) {
             current.processedIndex = view.appliedIndex
