Keep the ids of waiting jobs in a summary with many explanations

With more than 40 lines, the groups of steps that wait for a shorter time were only counted, so that a search for their jobs found nothing. Beyond the 30th line, steps now share lines by the kind of their reason, with what is kept from any of them. Lines hold up to 100 ids. Of 3,000 steps with 300 explanations, the summary names 1,200 and counts 1,800.

--- a/core/src/main/kotlin/org/auburnlever/workload/holds/WaitingLog.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/holds/WaitingLog.kt
@@ -1,29 +1,44 @@
 package org.auburnlever.workload.holds
 
 import org.auburnlever.workload.DecisionLogEntry
+import java.util.Collections
 import java.util.IdentityHashMap
 
 /**
  * Returns the log lines of one summary: steps with the same explanation share lines, the longest wait first.
  *
- * Each line holds the ids of its steps, and with them those of the jobs. The number of lines is bounded; the last one
- * then counts what is left out.
+ * Each line holds the ids of its steps, and with them those of the jobs. The number of lines is bounded: beyond a part
+ * of them, steps share lines if only the kind of the reason is the same, and the last line counts what is left out.
  */
 internal fun waitingLines(explanations: List<WaitingExplanation>, nowMillis: Long): List<DecisionLogEntry> {
     // Like steps share the object that explains them, whose text is long.
     val texts = IdentityHashMap<WaitingReason, Map<String, Any?>>()
-    val groups = explanations.sortedBy { it.sinceMillis }.groupBy { explanation ->
-        explanation.reason.kind to texts.getOrPut(explanation.reason) { explanation.reason.sharedDetails() }
+    val byText = explanations.inLines { reason -> texts.getOrPut(reason) { reason.sharedDetails() } }
+    if (byText.size <= MAX_LINES) return byText.map { (group, members) -> line(group, members, nowMillis) }
+    val merged = byText.drop(MAX_LINES_BY_TEXT).flatMap { (_, members) -> members }.inLines { emptyMap() }
+    val shown = merged.take(MAX_LINES - MAX_LINES_BY_TEXT - 1).map { (group, members) ->
+        val reasons = members.map { it.reason }.toCollection(Collections.newSetFromMap(IdentityHashMap()))
+        val holds = mapOf("merged" to true, "holds" to reasons.flatMap { it.holds }.distinct().describe())
+        line(group.first to holds, members, nowMillis)
     }
-    val lines = groups.entries.sortedBy { (group, _) -> group.first }
-        .flatMap { (group, members) -> members.chunked(MAX_STEPS_IN_LINE).map { group to it } }
-    if (lines.size <= MAX_LINES) return lines.map { (group, members) -> line(group, members, nowMillis) }
-    val leftOut = lines.drop(MAX_LINES - 1).flatMap { (_, members) -> members }
-    val details = mapOf("steps" to leftOut.size, "oldestForMillis" to nowMillis - leftOut.minOf { it.sinceMillis })
-    return lines.take(MAX_LINES - 1).map { (group, members) -> line(group, members, nowMillis) } +
-        DecisionLogEntry("waiting", "LEFT_OUT", details)
+    val leftOut = merged.drop(shown.size).flatMap { (_, members) -> members }
+    val shownByText = byText.take(MAX_LINES_BY_TEXT).map { (group, members) -> line(group, members, nowMillis) }
+    return shownByText + shown + listOfNotNull(leftOutLine(leftOut, nowMillis))
 }
 
+private fun leftOutLine(leftOut: List<WaitingExplanation>, nowMillis: Long): DecisionLogEntry? =
+    leftOut.minOfOrNull { it.sinceMillis }?.let {
+        val details = mapOf("steps" to leftOut.size, "oldestForMillis" to nowMillis - it)
+        DecisionLogEntry("waiting", "LEFT_OUT", details)
+    }
+
+private fun List<WaitingExplanation>.inLines(
+    details: (WaitingReason) -> Map<String, Any?>,
+): List<Pair<Pair<WaitingKind, Map<String, Any?>>, List<WaitingExplanation>>> =
+    sortedBy { it.sinceMillis }.groupBy { it.reason.kind to details(it.reason) }.entries
+        .sortedBy { (group, _) -> group.first }
+        .flatMap { (group, members) -> members.chunked(MAX_STEPS_IN_LINE).map { group to it } }
+
 private fun line(
     group: Pair<WaitingKind, Map<String, Any?>>,
     members: List<WaitingExplanation>,
@@ -104,7 +119,8 @@
 }
 
 private const val MAX_LINES = 40
-private const val MAX_STEPS_IN_LINE = 50
+private const val MAX_LINES_BY_TEXT = 30
+private const val MAX_STEPS_IN_LINE = 100
 private const val MAX_NAMED_OWNERS = 10
 private const val MAX_NAMED_WORKERS = 12
 private const val MAX_NAMED_RUNS = 4
--- a/core/src/test/kotlin/org/auburnlever/workload/holds/WaitingExplanationsTest.kt
+++ b/core/src/test/kotlin/org/auburnlever/workload/holds/WaitingExplanationsTest.kt
@@ -153,8 +153,9 @@
         }
         val lines = waitingLines(distinct, 10_000)
         assertEquals(40, lines.size)
-        assertEquals("LEFT_OUT", lines.last().id)
+        assertEquals("LEFT_OUT" to 1_800, lines.last().let { it.id to it.details["steps"] })
         assertEquals(3_000, lines.sumOf { it.details["steps"] as Int })
+        assertTrue(lines.any { "job1100.0.0" in "${it.details["ids"]}" && "gang110.0.0" in "${it.details["holds"]}" })
         assertEquals(10, HeldSteps().updated(distinct, 10_000).second.size)
     }
 }
