--- a/core/src/test/kotlin/org/auburnlever/workload/holds/HoldOverrideTest.kt
+++ b/core/src/test/kotlin/org/auburnlever/workload/holds/HoldOverrideTest.kt
@@ -21,8 +21,8 @@
             val untilMillis = workload.nowMillis + 40_000
             LeftOutWorker(it, HoldRule.SUSPENDED_WORKER, report("1").capacity, owner = "b", untilMillis)
         }
-        val input = PlanningInput(workload.state.jobs.values, usable, urgentReserve = urgentReserve, leftOut = suspended)
-        return planWork(input, workload.nowMillis)
+        val input = PlanningInput(workload.state.jobs.values, usable, urgentReserve = urgentReserve)
+        return planWork(input.copy(leftOut = suspended), workload.nowMillis)
     }
 
     private fun placed(plan: WorkPlan) = plan.assignments.flatMap { it.workers.values }.map { it.id }.sorted()
