Reserve room only for gangs that could fit, and not for ever

Callers saw accepted jobs wait on free workers: a gang that did not fit reserved the fullest set of workers in each plan, without a bound in time, also if the set could never hold it.

A set must now be able to hold the gang when idle, and a gang reserves for 20 s at a time, with pauses of 10 s, counted from replicated times. An urgent step reserves without stops for 10 s. Each rule that keeps room has its limit in HoldRule.

--- a/core/src/main/kotlin/org/auburnlever/workload/evacuation/WorkerWarmUp.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/evacuation/WorkerWarmUp.kt
@@ -133,7 +133,7 @@
          *
          * Declared durations are off by up to 90%, so a slow run may only be a long one.
          */
-        const val MAX_WARM_UP_MILLIS = 15_000L
+        val MAX_WARM_UP_MILLIS = HoldRule.WARM_UP.limitMillis
         const val FIRST_SHARE_PERCENT = 25
 
         /** About the duration of a small urgent task, so that each share can be observed before the next. */
--- a/core/src/main/kotlin/org/auburnlever/workload/holds/HoldOverride.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/holds/HoldOverride.kt
@@ -1,6 +1,5 @@
 package org.auburnlever.workload.holds
 
-import org.auburnlever.workload.planning.ALONE_MILLIS
 import org.auburnlever.workload.planning.FleetCapacity
 import org.auburnlever.workload.planning.PlanningInput
 import org.auburnlever.workload.planning.URGENT
@@ -76,7 +75,7 @@
 
     /** Whether the suspected run has survived its start, at which it would crash its worker. */
     private val RoomHold.outlivedStart: Boolean
-        get() = untilMillis != null && untilMillis - nowMillis <= ALONE_MILLIS - HoldLimit.MAX_HOLD_MILLIS
+        get() = untilMillis != null && untilMillis - nowMillis <= rule.limitMillis - HoldLimit.MAX_HOLD_MILLIS
 
     /** Places all tasks, if possible on one rack and on workers with the weakest rules. */
     private fun placeGang(step: WaitingStep, candidates: List<WorkerCapacity>): Map<Int, WorkerRef> {
--- a/core/src/main/kotlin/org/auburnlever/workload/planning/FleetCapacity.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/planning/FleetCapacity.kt
@@ -154,7 +154,7 @@
             }
             withTaskAlone.forEach { (worker, idAndTask) ->
                 val (id, task) = idAndTask
-                val untilMillis = task.assignedMillis + ALONE_MILLIS
+                val untilMillis = task.assignedMillis + HoldRule.SUSPECTED_RUN.limitMillis
                 fleet.holds += worker.hold(HoldRule.SUSPECTED_RUN, "${TaskRun(id, task.run)}", untilMillis)
                 worker.allocateRest()
             }
@@ -165,14 +165,7 @@
 
 /** Returns whether the assigned task keeps its worker for its job. */
 private fun TaskRecord.keepsWorker(nowMillis: Long): Boolean =
-    runsAlone && nowMillis - assignedMillis < ALONE_MILLIS
-
-/**
- * Time for which a worker is kept for a single job.
- *
- * A task that crashes its worker does so when it starts; after that time the worker is used again.
- */
-internal const val ALONE_MILLIS = 5_000L
+    runsAlone && nowMillis - assignedMillis < HoldRule.SUSPECTED_RUN.limitMillis
 
 /** Returns what the task [id] allocates on its worker. */
 internal fun JobRecord.needOf(id: TaskId): Resources = spec.steps[id.step].reserved
--- a/core/src/main/kotlin/org/auburnlever/workload/planning/PreemptionRules.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/planning/PreemptionRules.kt
@@ -1,6 +1,7 @@
 package org.auburnlever.workload.planning
 
 import org.auburnlever.workload.WorkloadLimits
+import org.auburnlever.workload.holds.HoldRule
 import org.auburnlever.workload.learning.DurationForecast
 
 /**
@@ -39,6 +40,18 @@
     fun permits(step: WaitingStep, preemption: Preemption): Boolean =
         preemption.lostMilliCoreMillis <= step.workMilliCoreMillis(durations) * MAX_LOST_MULTIPLE || reclaimIsDue(step)
 
+    /** Returns until when room may be reserved for the gang [step], or null while it may not. */
+    fun reservationEndMillis(step: WaitingStep): Long? {
+        val waitedMillis = nowMillis - step.waitingSinceMillis
+        val limitMillis = HoldRule.GANG_RESERVATION.limitMillis
+        val inTurnMillis = waitedMillis % (limitMillis + RESERVATION_PAUSE_MILLIS)
+        return if (inTurnMillis < limitMillis) nowMillis - inTurnMillis + limitMillis else null
+    }
+
+    /** Returns until when room may be reserved for the urgent [step] without stopping work, or null if it may not. */
+    fun urgentReservationEndMillis(step: WaitingStep): Long? =
+        (step.waitingSinceMillis + HoldRule.URGENT_STEP.limitMillis).takeIf { nowMillis < it }
+
     /** Returns whether [step] must take any workers now to begin within its guarantee, however slow they are for it. */
     fun reclaimIsDue(step: WaitingStep): Boolean =
         step.guaranteed && nowMillis in lastPreemptionMillis(step)..reclaimByMillis(step)
@@ -68,6 +81,9 @@
         step.job.beginMillis(step.id.occurrence) + limits.reclaimMillis
 
     private companion object {
+        /** Time in which work that the reserved room would serve can start, before it is reserved again. */
+        const val RESERVATION_PAUSE_MILLIS = 10_000L
+
         /** Covers a plan that is late and a forecast that is wrong. */
         const val RECLAIM_MARGIN_MILLIS = 500L
 
--- a/core/src/main/kotlin/org/auburnlever/workload/planning/WorkPlanner.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/planning/WorkPlanner.kt
@@ -54,13 +54,14 @@
         if (placed.isNotEmpty()) assignments += Assignment(step.id, step.nextRun, placed)
         holds += placed.filterKeys { it in step.alone }.map { (index, worker) ->
             val run = TaskRun(step.id.task(index), step.nextRun)
-            RoomHold(worker.id, HoldRule.SUSPECTED_RUN, "$run", Resources.NONE, rules.nowMillis + ALONE_MILLIS)
+            val untilMillis = rules.nowMillis + HoldRule.SUSPECTED_RUN.limitMillis
+            RoomHold(worker.id, HoldRule.SUSPECTED_RUN, "$run", Resources.NONE, untilMillis)
         }
         when {
             placed.size == step.tasks.size -> Unit
             step.alone.isNotEmpty() -> waitForIdleWorker(step, placed.size)
             step.priority == URGENT -> preemptFor(step, placed.size)
-            step.spec.gang && gangsWithReservation < MAX_GANGS_WITH_RESERVATION -> reserveForGang(step)
+            step.spec.gang -> reserveForGang(step)
         }
     }
 
@@ -68,27 +69,31 @@
      * Reserves the free resources of the candidate set that can hold most of the gang.
      *
      * Otherwise small tasks take all resources as they become free, and a gang that needs several whole workers never
-     * starts.
+     * starts. A set that is too small for the gang even when idle is not reserved.
      */
     private fun reserveForGang(step: WaitingStep) {
+        val untilMillis = rules.reservationEndMillis(step)
+        val sets = racks.candidateSets(step, pool(step)).filter { couldHold(it, step) }
+        if (untilMillis == null || sets.isEmpty() || gangsWithReservation >= MAX_GANGS_WITH_RESERVATION) return
         gangsWithReservation += 1
         val singleTasks = step.with(spec = step.spec.copy(gang = false))
-        val sets = racks.candidateSets(step, pool(step))
         val best = if (scarcity != null) {
             scarcity.fullestSet(singleTasks, sets)
         } else {
             sets.maxByOrNull { candidates -> fleet.trial { place(singleTasks, candidates).size } }
         }
-        if (best != null) holdFor(step, HoldRule.GANG_RESERVATION) { place(singleTasks, best, scarcity) }
+        if (best != null) {
+            holdFor(step, HoldRule.GANG_RESERVATION, untilMillis) { place(singleTasks, best, scarcity) }
+        }
     }
 
     /** Records the free room that [reserve] allocates for [step]. */
-    private fun holdFor(step: WaitingStep, rule: HoldRule, reserve: () -> Unit) {
+    private fun holdFor(step: WaitingStep, rule: HoldRule, untilMillis: Long?, reserve: () -> Unit) {
         val before = fleet.workers.associateWith { it.free }
         reserve()
         val changed = before.filter { (worker, free) -> free != worker.free }
         holds += changed.map { (worker, free) ->
-            RoomHold(worker.ref.id, rule, "${step.id}", room = free - worker.free, untilMillis = null)
+            RoomHold(worker.ref.id, rule, "${step.id}", room = free - worker.free, untilMillis)
         }
     }
 
@@ -148,8 +153,12 @@
         val preemption = preemptionPlanner.find(missing, racks.candidateSets(missing, pool(missing)), patienceMillis)
             ?: findAnywhere(missing, patienceMillis)
             ?: return
-        holdFor(step, HoldRule.URGENT_STEP) { preemptionPlanner.reserve(missing, preemption) }
-        if (rules.permits(missing, preemption)) {
+        val permitted = rules.permits(missing, preemption)
+        val untilMillis = rules.urgentReservationEndMillis(missing)
+        if (permitted || untilMillis != null) {
+            holdFor(step, HoldRule.URGENT_STEP, untilMillis) { preemptionPlanner.reserve(missing, preemption) }
+        }
+        if (permitted) {
             preemption.stopped.flatMap { it.runs }.forEach { (run, _) -> preemptedFor[run] = step.id }
         }
     }
@@ -157,7 +166,7 @@
     /** Decides the preemptions for all urgent steps considered so far, before other steps take the room. */
     fun preemptForClaims() {
         if (urgentPlanning == null || urgentClaims.isEmpty()) return
-        holdFor(urgentClaims.first().step, HoldRule.URGENT_STEP) {
+        holdFor(urgentClaims.first().step, HoldRule.URGENT_STEP, untilMillis = null) {
             preemptedFor += urgentPlanning.preemption.decide(urgentClaims)
         }
         urgentClaims.clear()
--- a/core/src/main/kotlin/org/auburnlever/workload/state/CrashSuspicion.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/state/CrashSuspicion.kt
@@ -1,5 +1,7 @@
 package org.auburnlever.workload.state
 
+import org.auburnlever.workload.holds.HoldRule
+
 /**
  * Whether the task gets a worker without runs of other jobs, since it may have crashed the workers of its earlier runs.
  *
@@ -14,7 +16,7 @@
 
 /** Returns the Unix time until which [task] of this step waits for a worker of its own, if it runs alone. */
 internal fun StepSpec.idleWorkerWaitEndMillis(task: TaskRecord): Long =
-    task.releasedMillis + if (longRunning) LONG_RUNNING_PATIENCE_MILLIS else PATIENCE_MILLIS
+    task.releasedMillis + if (longRunning) LONG_RUNNING_PATIENCE_MILLIS else HoldRule.DRAINED_WORKER.limitMillis
 
 /** Whether so many workers have crashed under the task, twice without another job, that it is not started again. */
 internal val TaskRecord.crashesWorkers: Boolean get() = crashSuspicion >= CRASHING_SUSPICION
@@ -33,8 +35,5 @@
 /** The first crash of a task that runs alone may be a coincidence, a second one hardly is. */
 private const val CRASHING_SUSPICION = ALONE_SUSPICION + 2
 
-/** Longer than most tasks take, so that a worker that takes no new ones is idle by then. */
-private const val PATIENCE_MILLIS = 12_000L
-
 /** A long-running task has to be back within 6 s of its last run, of which a crash takes half until it is known. */
 private const val LONG_RUNNING_PATIENCE_MILLIS = 2_000L
