Stop counting urgent jobs that wait for long as demand

A hopeless urgent gang counted one and a half times in the reserve for urgent jobs for as long as it waited, and so kept up to 30% of the fleet from other work. What has waited for 10 s is no sign of further urgent jobs and is no longer counted. The test fails on the code before (49 accelerators reserved).

--- a/core/src/main/kotlin/org/auburnlever/workload/planning/UrgentDemand.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/planning/UrgentDemand.kt
@@ -1,5 +1,6 @@
 package org.auburnlever.workload.planning
 
+import org.auburnlever.workload.holds.HoldRule
 import org.auburnlever.workload.state.JobPhase
 import org.auburnlever.workload.state.JobRecord
 
@@ -40,7 +41,10 @@
 
     private fun JobRecord.urgentAccelerators(nowMillis: Long): Int {
         if (phase != JobPhase.ACTIVE || policy.priority != URGENT) return 0
-        val waiting = waitingSteps(nowMillis).sumOf { it.spec.reserved.accelerators * it.tasks.size }
+        // A job that nothing can place, such as too wide a gang, would keep room for as long as it waits.
+        val waiting = waitingSteps(nowMillis)
+            .filter { nowMillis - it.waitingSinceMillis < HoldRule.URGENT_DEMAND.limitMillis }
+            .sumOf { it.spec.reserved.accelerators * it.tasks.size }
         return waiting + assigned().sumOf { (id, _) -> needOf(id).accelerators }
     }
 
--- a/core/src/test/kotlin/org/auburnlever/workload/holds/HoldRulesTest.kt
+++ b/core/src/test/kotlin/org/auburnlever/workload/holds/HoldRulesTest.kt
@@ -2,6 +2,7 @@
 
 import org.auburnlever.workload.CoordinatorHarness
 import org.auburnlever.workload.planning.PlanningInput
+import org.auburnlever.workload.planning.UrgentDemand
 import org.auburnlever.workload.planning.planWork
 import org.auburnlever.workload.report
 import org.auburnlever.workload.runs.WorkerView
@@ -10,6 +11,7 @@
 import org.auburnlever.workload.step
 import kotlin.test.Test
 import kotlin.test.assertEquals
+import kotlin.test.assertTrue
 
 internal class HoldRulesTest : CoordinatorHarness() {
     private val views = listOf("1", "2", "3", "4").map { WorkerView(report(it).ref, report(it)) }
@@ -41,4 +43,15 @@
         workload.nowMillis += HoldRule.GANG_RESERVATION.limitMillis
         assertEquals(listOf("z"), plannedJobs())
     }
+
+    @Test
+    fun `a hopeless urgent gang keeps room for urgent jobs for as long as it waits`() {
+        workload.submit("urgent", "wide", step(tasks = 33, gang = true))
+        val first = UrgentDemand().observed(workload.state.jobs.values, workload.nowMillis)
+        assertTrue(first.reserve(workload.state.jobs.values) > 0)
+
+        workload.nowMillis += HoldRule.URGENT_DEMAND.limitMillis + 1
+        val later = first.observed(workload.state.jobs.values, workload.nowMillis)
+        assertEquals(0, later.reserve(workload.state.jobs.values))
+    }
 }
