Hold failures of long-running tasks at work against no worker

A long-running task that was at work for 10 s now tells nothing about its worker. The test fails on the code before.

--- a/core/src/main/kotlin/org/auburnlever/workload/runs/WorkerPolling.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/runs/WorkerPolling.kt
@@ -62,7 +62,7 @@
     put(view.copy(pollSentMillis = null, nextPollMillis = nowMillis + delayMillis, failedPolls = failedPolls))
     if (answer is OrderAnswer.Listed && !newIncarnation) {
         confirmAcknowledgedEnds(order)
-        recordListedEnds(order.worker, answer, nowMillis)
+        recordListedEnds(state, order.worker, answer, nowMillis)
         handleActiveRuns(state, order.worker, answer, nowMillis)
         if (answer.complete) {
             handleMissingRuns(order.worker, answer, sentMillis, nowMillis)
@@ -92,14 +92,19 @@
     put(view.copy(polled = true, confirmedEnd = maxOf(view.confirmedEnd, order.acknowledgedEnd)))
 }
 
-private fun LeaderState.recordListedEnds(worker: WorkerRef, listed: OrderAnswer.Listed, nowMillis: Long) {
+private fun LeaderState.recordListedEnds(
+    state: WorkloadState,
+    worker: WorkerRef,
+    listed: OrderAnswer.Listed,
+    nowMillis: Long,
+) {
     val view = workers[worker.id] ?: return
     val after = maxOf(view.acknowledgedEnd, view.endsInFlight)
     val fresh = listed.ended.filter { it.number > after }
     if (fresh.isEmpty()) return
     val ends = fresh.map { it.end }
     val through = fresh.maxOf { it.number }
-    put(countFailures(view, ends, nowMillis).copy(endsInFlight = through))
+    put(countFailures(state, view, ends, nowMillis).copy(endsInFlight = through))
     ends.forEach { end -> logDecision("task_ended", end.run.toString(), "worker" to worker.id, "how" to end.kind) }
     recordEnds(ends, worker, after, through)
 }
--- a/core/src/main/kotlin/org/auburnlever/workload/runs/WorkerReports.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/runs/WorkerReports.kt
@@ -1,8 +1,11 @@
 package org.auburnlever.workload.runs
 
+import org.auburnlever.workload.holds.HoldRule
 import org.auburnlever.workload.state.EndKind
 import org.auburnlever.workload.state.RunEnd
+import org.auburnlever.workload.state.TaskRun
 import org.auburnlever.workload.state.WorkerRef
+import org.auburnlever.workload.state.WorkloadState
 
 /** Stores a worker's report unless a newer one is known. */
 internal fun LeaderState.handleReport(report: WorkerReport, nowMillis: Long) {
@@ -64,20 +67,35 @@
 /**
  * Counts failed jobs and suspends a worker on which two jobs failed without a success in between.
  *
- * Failures of one job alone may be the job's own fault.
+ * Failures of one job alone may be the job's own fault, as are those of long-running tasks that were at work before:
+ * they never succeed, and would suspend a sound worker for longer each time.
  */
-internal fun LeaderState.countFailures(view: WorkerView, ends: List<RunEnd>, nowMillis: Long): WorkerView {
+internal fun LeaderState.countFailures(
+    state: WorkloadState,
+    view: WorkerView,
+    ends: List<RunEnd>,
+    nowMillis: Long,
+): WorkerView {
     val succeeded = ends.any { it.kind == EndKind.DONE }
-    val failed = ends.filter { it.kind == EndKind.FAILED }.map { it.run.task.job }.toSet()
+    val failed = ends.filter { it.kind == EndKind.FAILED && !wasAtWork(state, it.run, nowMillis) }
+        .map { it.run.task.job }.toSet()
     val jobs = if (succeeded) failed else view.failedJobs + failed
     val counted = view.copy(failedJobs = jobs, suspensions = if (succeeded) 0 else view.suspensions)
     val suspend = !succeeded && failed.isNotEmpty() && jobs.size >= SUSPENDING_FAILURES
     return if (suspend) suspended(counted, nowMillis) else counted
 }
 
+/** Returns whether [run] of a long-running task has worked for so long that its worker is not the cause of its end. */
+private fun LeaderState.wasAtWork(state: WorkloadState, run: TaskRun, nowMillis: Long): Boolean {
+    val step = state.jobs[run.task.job]?.spec?.steps?.getOrNull(run.task.step)
+    val startedMillis = runs[run]?.startedMillis ?: nowMillis
+    return step?.longRunning == true && nowMillis - startedMillis >= AT_WORK_MILLIS
+}
+
 /** Suspends the worker from new work; each suspension in a row lasts twice as long, up to a limit. */
 internal fun LeaderState.suspended(view: WorkerView, nowMillis: Long): WorkerView {
-    val untilMillis = nowMillis + (SUSPENSION_MILLIS shl minOf(view.suspensions, MAX_DOUBLINGS))
+    val durationMillis = SUSPENSION_MILLIS shl minOf(view.suspensions, MAX_DOUBLINGS)
+    val untilMillis = nowMillis + minOf(durationMillis, HoldRule.SUSPENDED_WORKER.limitMillis)
     logDecision("worker_suspended", view.ref.id, "failedJobs" to view.failedJobs, "untilMillis" to untilMillis)
     return view.copy(suspendedUntilMillis = untilMillis, suspensions = view.suspensions + 1)
 }
@@ -109,6 +127,9 @@
 
 private const val SUSPENDING_FAILURES = 2
 
+/** A worker that fails what it starts does so in less time. */
+private const val AT_WORK_MILLIS = 10_000L
+
 /** Length of the first suspension: that of a typical disturbance of a worker. */
 private const val SUSPENSION_MILLIS = 5_000L
 private const val MAX_DOUBLINGS = 3
--- a/core/src/test/kotlin/org/auburnlever/workload/holds/HoldRulesTest.kt
+++ b/core/src/test/kotlin/org/auburnlever/workload/holds/HoldRulesTest.kt
@@ -5,8 +5,13 @@
 import org.auburnlever.workload.planning.UrgentDemand
 import org.auburnlever.workload.planning.planWork
 import org.auburnlever.workload.report
+import org.auburnlever.workload.runs.NumberedEnd
+import org.auburnlever.workload.runs.OrderAnswer
+import org.auburnlever.workload.runs.WorkerOrder
 import org.auburnlever.workload.runs.WorkerView
+import org.auburnlever.workload.state.EndKind
 import org.auburnlever.workload.state.Resources
+import org.auburnlever.workload.state.RunEnd
 import org.auburnlever.workload.state.WorkloadCommand
 import org.auburnlever.workload.step
 import kotlin.test.Test
@@ -22,6 +27,8 @@
         return plan.assignments.map { it.step.job }
     }
 
+    private fun events(name: String) = logEntries.filter { it.event == name }
+
     @Test
     fun `a gang that the fleet can never hold keeps its free room`() {
         workload.submit("routine", "a", step(tasks = 20))
@@ -54,4 +61,24 @@
         val later = first.observed(workload.state.jobs.values, workload.nowMillis)
         assertEquals(0, later.reserve(workload.state.jobs.values))
     }
+
+    @Test
+    fun `long-running tasks that fail now and then suspend a sound worker`() {
+        run(coordinator.onReport(report("1"), workload.nowMillis))
+        workload.submit("routine", JOB, step(tasks = 1).copy(longRunning = true))
+        workload.submit("routine", OTHER_JOB, step(tasks = 1).copy(longRunning = true))
+        tick(afterMillis = 1_000)
+        val starts = List(2) { take<WorkerOrder.Start>() }
+        starts.forEach { answer(it, OrderAnswer.Done(clockMillis = 100_100)) }
+        tick()
+        workload.nowMillis += 20_000
+        val ends = starts.mapIndexed { index, start -> NumberedEnd(index + 1L, RunEnd(start.run, EndKind.FAILED, "")) }
+        answer(take<WorkerOrder.Poll>(), listed(ended = ends))
+
+        assertEquals(emptyList(), events("worker_suspended"))
+    }
+
+    private companion object {
+        const val OTHER_JOB = "00000000000000b2"
+    }
 }
