Judge a stall by the estimate of the task, and end it

A worker was left out while the percentage of one of its runs did not change for 3.5 s. On a task of more than 6 min at full speed that is always so, and the rule was renewed for as long as the run stalled; as a gang makes progress only as a whole, one worker that stands still left out those of all members. The test fails on the code before.

--- a/core/src/main/kotlin/org/auburnlever/workload/runs/StalledRuns.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/runs/StalledRuns.kt
@@ -1,5 +1,6 @@
 package org.auburnlever.workload.runs
 
+import org.auburnlever.workload.holds.HoldRule
 import org.auburnlever.workload.planning.URGENT
 import org.auburnlever.workload.state.TaskRun
 import org.auburnlever.workload.state.WorkloadState
@@ -16,8 +17,12 @@
     nowMillis: Long,
     protectedRuns: Set<TaskRun> = emptySet(),
 ) {
-    val stalled = runs.filter { (run, view) -> view.stalled(nowMillis) && state.makesProgress(run) }
-    val runByWorker = stalled.entries.associate { (run, view) -> view.worker.id to run }
+    val stalled = runs.filter { (run, view) -> state.stallMillis(run)?.let { view.stalled(it, nowMillis) } == true }
+    val lately = stalled.filter { (run, view) ->
+        val stalledForMillis = nowMillis - view.progressMillis - (state.stallMillis(run) ?: 0)
+        stalledForMillis < HoldRule.STALLED_WORKER.limitMillis
+    }
+    val runByWorker = lately.entries.associate { (run, view) -> view.worker.id to run }
     runByWorker.mapNotNull { (id, run) -> workers[id]?.let { it to run } }
         .filter { (view, _) -> nowMillis >= view.stalledUntilMillis }
         .forEach { (view, run) ->
@@ -32,16 +37,26 @@
     }
 }
 
-private fun RunView.stalled(nowMillis: Long): Boolean =
+private fun RunView.stalled(stallMillis: Long, nowMillis: Long): Boolean =
     answeredMillis != null && stopSentMillis == null && missingSinceMillis == null &&
-        progressMillis > 0 && nowMillis - progressMillis >= STALL_MILLIS
+        progressMillis > 0 && nowMillis - progressMillis >= stallMillis
+
+/**
+ * Returns the time without progress after which [run] counts as stalled; null for a long-running task, which always
+ * reports 100 percent.
+ *
+ * The percentage of a long task rises by less than one between two polls.
+ */
+private fun WorkloadState.stallMillis(run: TaskRun): Long? =
+    jobs[run.task.job]?.spec?.steps?.getOrNull(run.task.step)?.takeIf { !it.longRunning }
+        ?.let { maxOf(MIN_STALL_MILLIS, it.estimatedMillis * SLOWEST_FACTOR / PERCENT) }
 
-/** Returns whether [run] reports progress; a long-running task always reports 100 percent. */
-private fun WorkloadState.makesProgress(run: TaskRun): Boolean =
-    jobs[run.task.job]?.spec?.steps?.getOrNull(run.task.step)?.longRunning == false
+/** Longer than two polls. */
+private const val MIN_STALL_MILLIS = 3_500L
 
-/** Longer than two polls, between which a task shows progress even at a sixth of its speed. */
-private const val STALL_MILLIS = 3_500L
+/** A task counts as stalled if it is slower than that. */
+private const val SLOWEST_FACTOR = 6
+private const val PERCENT = 100
 
-/** Suspension of a worker with a stalled run; renewed while the run makes no progress. */
+/** Time for which a worker with a stalled run is left out; renewed while the run makes no progress, up to a limit. */
 private const val AVOID_MILLIS = 2_000L
--- a/core/src/test/kotlin/org/auburnlever/workload/holds/HoldRulesTest.kt
+++ b/core/src/test/kotlin/org/auburnlever/workload/holds/HoldRulesTest.kt
@@ -5,6 +5,7 @@
 import org.auburnlever.workload.planning.UrgentDemand
 import org.auburnlever.workload.planning.planWork
 import org.auburnlever.workload.report
+import org.auburnlever.workload.runs.ActiveRun
 import org.auburnlever.workload.runs.NumberedEnd
 import org.auburnlever.workload.runs.OrderAnswer
 import org.auburnlever.workload.runs.WorkerOrder
@@ -78,6 +79,17 @@
         assertEquals(emptyList(), events("worker_suspended"))
     }
 
+    @Test
+    fun `a worker is left out because the percentage of a long task rises slowly`() {
+        val start = startJob(step(tasks = 1).copy(estimatedMillis = 400_000))
+        answer(start, OrderAnswer.Done(clockMillis = 100_100))
+        tick()
+        answer(take<WorkerOrder.Poll>(), listed(active = listOf(ActiveRun(start.run, "", percent = 1))))
+        tick(afterMillis = 3_600)
+
+        assertEquals(emptyList(), events("worker_stalled"))
+    }
+
     private companion object {
         const val OTHER_JOB = "00000000000000b2"
     }
