--- a/review/standins/review/Minion.java
+++ b/review/standins/review/Minion.java
@@ -155,6 +155,9 @@
         return port;
     }
 
+    /** Whether the minion answers starts with 503 and does nothing for them, while its pings go on. */
+    volatile boolean unhealthy;
+
     private String names() {
         List<String> names = new ArrayList<>();
         active.values().forEach(it -> names.add(it.task + "#" + it.run));
@@ -174,6 +177,11 @@
             } else if (target != null && !target.equals(id)) {
                 status = 421;
                 answer = Json.of();
+            } else if (unhealthy && path.equals("/run-start")) {
+                status = 503;
+                answer = Json.of();
+                recorder.write("minion " + id + " is unhealthy and answers 503 to the start of "
+                    + Json.object(body).get("task"));
             } else {
                 Map<String, Object> order = Json.object(body);
                 String refusal = switch (path) {
