--- a/review/standins/review/Deployment.java
+++ b/review/standins/review/Deployment.java
@@ -15,9 +15,11 @@
 
 /**
  * A small deployment: three control hosts and some entry hosts as separate processes on loopback addresses, started
- * with the commands of the deploy file in the working directory.
+ * with the commands of the deploy file in the working directory. The environment variable REVIEW_BUILD names another
+ * folder for the program than that of the deploy file.
  */
 final class Deployment implements AutoCloseable {
+    private static final String DEPLOYED_BUILD = "target/auburnlever-platform";
     static final List<String> ZONES = List.of("thies-a", "dakar-a", "saint-louis-a");
 
     final Recorder recorder;
@@ -162,11 +164,13 @@
     }
 
     private void readCommands() throws IOException {
+        String build = System.getenv("REVIEW_BUILD") == null ? DEPLOYED_BUILD : System.getenv("REVIEW_BUILD");
         String role = null;
         for (String line : Files.readAllLines(Path.of("deploy/system.toml"))) {
             if (line.startsWith("[roles.")) role = line.substring(7, line.indexOf(']'));
             if (line.startsWith("run = ") && role != null) {
-                commands.put(role, line.substring(line.indexOf('"') + 1, line.lastIndexOf('"')));
+                String command = line.substring(line.indexOf('"') + 1, line.lastIndexOf('"'));
+                commands.put(role, command.replace(DEPLOYED_BUILD, build));
             }
         }
     }
