--- a/core/src/main/kotlin/org/auburnlever/workload/runs/RunReconciliation.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/runs/RunReconciliation.kt
@@ -36,7 +36,7 @@
     if (known == null || known.ref.startMillis < ref.startMillis) put(freshView(ref))
 }
 
-/** Stops the runs of ended jobs and of gangs that have lost a member, and those that may begin although they are over. */
+/** Stops the runs of ended jobs and of gangs that have lost a member, and those that are over but may still begin. */
 internal fun LeaderState.stopUnwantedRuns(state: WorkloadState, nowMillis: Long) {
     runs.forEach { (run, view) ->
         val job = state.jobs[run.task.job]
--- a/node/src/main/kotlin/org/auburnlever/fleet/WorkloadLeader.kt
+++ b/node/src/main/kotlin/org/auburnlever/fleet/WorkloadLeader.kt
@@ -66,12 +66,7 @@
 
     /** Passes [report] to the coordinator if it can be one of a worker; returns false if this host does not lead. */
     suspend fun onReport(report: WorkerReport): Boolean = withCoordinator {
-        if (runner.view.state.takes(report)) it.onReport(report, clock.nowMillis()) else ignored(report)
-    }
-
-    private fun ignored(report: WorkerReport): List<CoordinatorEffect> {
-        val details = mapOf("service" to report.service, "address" to report.ref.address, "reason" to "unknown service")
-        return listOf(CoordinatorEffect.Log(DecisionLogEntry("report_ignored", report.ref.id, details)))
+        if (runner.view.state.takes(report)) it.onReport(report, clock.nowMillis()) else listOf(ignoredEntry(report))
     }
 
     /** Tells the coordinator that the worker [workerId] shuts down; returns false if this host does not lead. */
@@ -176,3 +171,8 @@
         const val MIN_TICK_INTERVAL_MILLIS = 20L
     }
 }
+
+private fun ignoredEntry(report: WorkerReport): CoordinatorEffect {
+    val details = mapOf("service" to report.service, "address" to report.ref.address, "reason" to "unknown service")
+    return CoordinatorEffect.Log(DecisionLogEntry("report_ignored", report.ref.id, details))
+}
