--- a/acceptance/src/test/kotlin/org/auburnlever/acceptance/ReviewCasesTest.kt
+++ b/acceptance/src/test/kotlin/org/auburnlever/acceptance/ReviewCasesTest.kt
@@ -36,7 +36,6 @@
     fun `jobs whose starts were refused are counted as pending`() = runCase(7)
 
     @Test
-    @Tag("known-red")
     fun `a desired state that is no valid JSON is refused`() = runCase(8)
 
     @Test
