Keep to the limit of a step's tasks on one worker where holds are overridden

The tasks that the same plan had placed before were not counted, as the limit is counted from recorded assignments. Workers that the plan gave tasks of such a step are left out now. The test fails on the code before.

--- a/core/src/main/kotlin/org/auburnlever/workload/holds/HoldOverride.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/holds/HoldOverride.kt
@@ -61,11 +61,18 @@
     }
 
     private fun place(step: WaitingStep): Map<Int, WorkerRef> {
-        val candidates = fleet.pool(step.job.service, step.spec.constraint, except = emptySet()).workers
+        val candidates = fleet.pool(step.job.service, step.spec.constraint, except = workersAtLimit(step)).workers
             .filter { worker -> worker.holdsFor(step).all { mayUse(it, step) } }
         return if (step.spec.gang) placeGang(step, candidates) else placeSingly(step, candidates)
     }
 
+    /** Returns the workers that the plan gave tasks of [step], if the number of these on one worker is limited. */
+    private fun workersAtLimit(step: WaitingStep): Set<String> = if (step.spec.maxTasksPerWorker > 0) {
+        assignments.filter { it.step == step.id }.flatMap { it.workers.values }.map { it.id }.toSet()
+    } else {
+        emptySet()
+    }
+
     private fun mayUse(hold: RoomHold, step: WaitingStep): Boolean = step.spec.longRunning || when (hold.rule) {
         HoldRule.URGENT_DEMAND -> step.priority == URGENT || load.hasIdleAccelerators(step.job.service)
         HoldRule.DRAINED_WORKER -> load.isIdle(step.job.service)
--- a/core/src/test/kotlin/org/auburnlever/workload/holds/HoldOverrideTest.kt
+++ b/core/src/test/kotlin/org/auburnlever/workload/holds/HoldOverrideTest.kt
@@ -71,6 +71,17 @@
         assertEquals(listOf("lasting"), plan(urgentReserve = 8).assignments.map { it.step.job })
     }
 
+    @Test
+    fun `more tasks of a step start on a worker than its limit allows`() {
+        workload.submit("routine", "a", step(tasks = 4).copy(maxTasksPerWorker = 1))
+        workload.nowMillis += HoldLimit.MAX_HOLD_MILLIS
+
+        assertEquals(listOf("1", "2", "3", "4"), placed(plan(leftOut = setOf("4"))))
+        workload.submit("routine", "b", step(tasks = 5).copy(maxTasksPerWorker = 1))
+        workload.nowMillis += HoldLimit.MAX_HOLD_MILLIS
+        assertEquals(8, placed(plan(leftOut = setOf("4"))).size)
+    }
+
     @Test
     fun `a rack-sensitive gang stands still while each rack is partly in use`() {
         val racks = workers.map { it.copy(report = it.report?.copy(labels = listOf("k", "r${it.ref.id.toInt() % 2}"))) }
