--- a/acceptance/src/test/kotlin/org/auburnlever/acceptance/ReviewCasesTest.kt
+++ b/acceptance/src/test/kotlin/org/auburnlever/acceptance/ReviewCasesTest.kt
@@ -17,7 +17,6 @@
     fun `a start that outlives its worker does not run a finished task again`() = runCase(2)
 
     @Test
-    @Tag("known-red")
     fun `a gang that can never start does not keep accepted jobs from an idle fleet`() = runCase(3)
 
     @Test
@@ -25,11 +24,9 @@
     fun `a sound job is not shown as failed since its worker crashed repeatedly`() = runCase(4)
 
     @Test
-    @Tag("known-red")
     fun `long-running tasks that fail now and then are started again`() = runCase(5)
 
     @Test
-    @Tag("known-red")
     fun `a rack-sensitive gang starts on several racks if no rack has room for it`() = runCase(6)
 
     @Test
--- a/core/src/main/kotlin/org/auburnlever/workload/planning/WorkPlan.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/planning/WorkPlan.kt
@@ -57,7 +57,7 @@
     val reservedForUrgent = if (joint) emptySet() else fleet.workersToReserve(input.urgentReserve)
     val keptRoom = if (joint) KeptRoom.of(fleet, input, nowMillis) else KeptRoom.NONE
     val keptForUrgent = (reservedForUrgent + keptRoom.workers).mapNotNull { fleet.worker(it) }
-        .map { it.hold(HoldRule.URGENT_DEMAND, "urgent jobs", untilMillis = null) }
+        .map { it.hold(HoldRule.URGENT_DEMAND, "urgent jobs", nowMillis + HoldRule.URGENT_DEMAND.limitMillis) }
     val planner = WorkPlanner(
         fleet,
         preemptionPlanner,
