--- a/core/src/main/kotlin/org/auburnlever/workload/holds/HoldOverride.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/holds/HoldOverride.kt
@@ -50,7 +50,7 @@
 
     private fun assign(step: WaitingStep): Assignment? {
         val service = step.job.service
-        val allowed = step.spec.longRunning || load.isPartlyIdle(service)
+        val allowed = step.spec.longRunning || load.isIdle(service)
         // A crash is only evidence against a suspected task that has its worker to itself; its wait has its own limit.
         val workers = if (allowed && step.alone.isEmpty()) place(step) else emptyMap()
         if (workers.isEmpty()) return null
@@ -73,12 +73,8 @@
         emptySet()
     }
 
-    private fun mayUse(hold: RoomHold, step: WaitingStep): Boolean = step.spec.longRunning || when (hold.rule) {
-        HoldRule.URGENT_DEMAND -> step.priority == URGENT || load.hasIdleAccelerators(step.job.service)
-        HoldRule.DRAINED_WORKER -> load.isIdle(step.job.service)
-        HoldRule.SUSPECTED_RUN -> load.isIdle(step.job.service) && hold.outlivedStart
-        else -> true
-    }
+    private fun mayUse(hold: RoomHold, step: WaitingStep): Boolean =
+        step.spec.longRunning || hold.rule != HoldRule.SUSPECTED_RUN || hold.outlivedStart
 
     /** Whether the suspected run has survived its start, at which it would crash its worker. */
     private val RoomHold.outlivedStart: Boolean
--- a/core/src/main/kotlin/org/auburnlever/workload/holds/ServiceLoad.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/holds/ServiceLoad.kt
@@ -27,16 +27,11 @@
         uses[service]?.let { it.free -= amount }
     }
 
-    /** Returns whether under half of the service's cores or of its accelerators are in use. */
-    fun isPartlyIdle(service: ServiceName): Boolean = hasIdleCores(service) || hasIdleAccelerators(service)
-
-    /** Returns whether under half of the service's cores and of its accelerators are in use. */
-    fun isIdle(service: ServiceName): Boolean = hasIdleCores(service) && hasIdleAccelerators(service)
-
-    /** Returns whether under half of the service's accelerators are in use. */
-    fun hasIdleAccelerators(service: ServiceName): Boolean =
-        uses[service].let { it != null && it.free.accelerators * 2 > it.capacity.accelerators }
+    /** Returns whether under half of the service's cores and under half of its accelerators are in use. */
+    fun isIdle(service: ServiceName): Boolean = uses[service].let { use ->
+        use != null && isIdle(use.free.milliCores, use.capacity.milliCores) &&
+            isIdle(use.free.accelerators.toLong(), use.capacity.accelerators.toLong())
+    }
 
-    private fun hasIdleCores(service: ServiceName): Boolean =
-        uses[service].let { it != null && it.free.milliCores * 2 > it.capacity.milliCores }
+    private fun isIdle(free: Long, capacity: Long): Boolean = capacity == 0L || free * 2 > capacity
 }
