Keep no workers without accelerators for urgent jobs

Once the accelerators in use left none free, the reserve for urgent jobs took all workers, also those of services without accelerators, and the override never applied there, as none of no accelerators counts as idle. An idle service without accelerators stood still.

--- a/core/src/main/kotlin/org/auburnlever/workload/planning/UrgentDemand.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/planning/UrgentDemand.kt
@@ -72,7 +72,8 @@
     if (accelerators <= 0 || free * 2 >= total) return emptySet()
     val kept = LinkedHashSet<String>()
     var missing = minOf(accelerators, total * MAX_RESERVE_PERCENT / WHOLE_PERCENT)
-    for (worker in workers.sortedByDescending { it.free.accelerators }) {
+    val withAccelerators = workers.filter { it.report.capacity.accelerators > 0 }
+    for (worker in withAccelerators.sortedByDescending { it.free.accelerators }) {
         if (missing <= 0) break
         kept += worker.ref.id
         missing -= maxOf(0, worker.free.accelerators)
