Spare the room of guaranteed urgent steps until their guarantee ends

After 2 s, overdue routine tasks took the room that stopped work leaves for a guaranteed urgent job, whose preemption may be due only later. Such room is now spared until the time by which the job has to begin. The test failed before and passes.

--- a/core/src/main/kotlin/org/auburnlever/workload/holds/HoldOverride.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/holds/HoldOverride.kt
@@ -107,6 +107,10 @@
     private fun WorkerCapacity.holdsFor(step: WaitingStep): List<RoomHold> =
         holdsByWorker[ref.id].orEmpty().filter { it.owner != "${step.id}" }
 
+    /** Returns whether [step] can still begin in the time that its guarantee allows, which may be above the limit. */
+    private fun mayBeReclaimed(step: WaitingStep): Boolean = step.guaranteed &&
+        nowMillis < step.job.beginMillis(step.id.occurrence) + input.limits.reclaimMillis
+
     /** Returns the reachable workers with all that is really free on them, less what is spared for urgent steps. */
     private fun fleetWithoutHolds(): FleetCapacity {
         val views = (input.workers + input.leftOut.map { it.view }).associateBy { it.ref.id }.values
@@ -116,7 +120,7 @@
             val need = jobs.getValue(assignment.step.job).needOf(assignment.step.task(0))
             assignment.workers.values.forEach { fleet.worker(it.id)?.allocate(need) }
         }
-        val spared = steps.filter { it.priority == URGENT && limit.protects(it) }.map { "${it.id}" }.toSet()
+        val spared = steps.filter { it.priority == URGENT && (limit.protects(it) || mayBeReclaimed(it)) }.map { "${it.id}" }.toSet()
         holds.filter { it.rule == HoldRule.URGENT_STEP && it.owner in spared }
             .forEach { fleet.worker(it.worker)?.allocate(it.room) }
         return fleet
--- a/core/src/test/kotlin/org/auburnlever/workload/holds/HoldReviewTest.kt
+++ b/core/src/test/kotlin/org/auburnlever/workload/holds/HoldReviewTest.kt
@@ -46,6 +46,20 @@
         workload.submit("routine", "b", step(tasks = 4, accelerators = 5).copy(estimatedMillis = 90_000))
     }
 
+    @Test
+    fun `a routine task takes the room that is gathered for a guaranteed urgent job`() {
+        occupy()
+        workload.submit("urgent", "u", step(tasks = 1, accelerators = 8))
+        val early = plan()
+        assertEquals(3, early.assignments.single().workers.size)
+        workload.apply(WorkloadCommand.Assign(early.assignments))
+        workload.nowMillis += 3_200
+
+        val plan = plan()
+        assertEquals("u", plan.preemptedFor.values.single().job)
+        assertEquals(emptyList(), placedJobs(plan))
+    }
+
     @Test
     fun `an idle service without accelerators stands still because those of another are kept for urgent jobs`() {
         val cores = ServiceName("cores")
