--- a/core/src/main/kotlin/org/auburnlever/workload/holds/HoldOverride.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/holds/HoldOverride.kt
@@ -129,4 +129,4 @@
 
 /** Whether the step may wait for one rack although there is room elsewhere. */
 private val WaitingStep.prefersRack: Boolean
-    get() = tasks.size > 1 && (spec.rackSensitive || spec.dataRack != null)
+    get() = spec.dataRack != null || tasks.size > 1 && spec.rackSensitive
--- a/core/src/test/kotlin/org/auburnlever/workload/holds/HoldReviewTest.kt
+++ b/core/src/test/kotlin/org/auburnlever/workload/holds/HoldReviewTest.kt
@@ -15,6 +15,7 @@
 import org.auburnlever.workload.runs.WorkerView
 import org.auburnlever.workload.state.Catalog
 import org.auburnlever.workload.state.CatalogService
+import org.auburnlever.workload.state.Resources
 import org.auburnlever.workload.state.WorkloadCommand
 import org.auburnlever.workload.step
 import kotlin.test.Test
@@ -60,6 +61,17 @@
         assertEquals(emptyList(), placedJobs(plan))
     }
 
+    @Test
+    fun `a gang of one task stands still while its data rack is full`() {
+        val racks = workers.map { it.copy(report = it.report?.copy(labels = listOf("k", "r${it.ref.id}"))) }
+        workload.submit("routine", "a", long.copy(need = Resources(1_000, 1_000, 8)))
+        workload.assign("a", run = 1, workers = mapOf(0 to "1"))
+        workload.submit("routine", "gang", step(tasks = 1, gang = true).copy(dataRack = "r1"))
+        workload.nowMillis += HoldLimit.MAX_HOLD_MILLIS
+
+        assertEquals(listOf("gang"), placedJobs(plan(input().copy(workers = racks))))
+    }
+
     @Test
     fun `an idle service without accelerators stands still because those of another are kept for urgent jobs`() {
         val cores = ServiceName("cores")
