--- a/core/src/main/kotlin/org/auburnlever/workload/holds/HoldOverride.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/holds/HoldOverride.kt
@@ -6,6 +6,7 @@
 import org.auburnlever.workload.planning.WaitingStep
 import org.auburnlever.workload.planning.WorkerCapacity
 import org.auburnlever.workload.planning.fits
+import org.auburnlever.workload.planning.maxTasksOf
 import org.auburnlever.workload.planning.needOf
 import org.auburnlever.workload.planning.place
 import org.auburnlever.workload.state.Assignment
@@ -61,8 +62,10 @@
     }
 
     private fun place(step: WaitingStep): Map<Int, WorkerRef> {
-        val candidates = fleet.pool(step.job.service, step.spec.constraint, except = workersAtLimit(step)).workers
-            .filter { worker -> worker.holdsFor(step).all { mayUse(it, step) } }
+        val pool = fleet.pool(step.job.service, step.spec.constraint, except = workersAtLimit(step))
+        if (pool.isFullFor(step.spec.reserved)) return emptyMap()
+        val candidates = pool.workers
+            .filter { worker -> worker.maxTasksOf(step) > 0 && worker.holdsFor(step).all { mayUse(it, step) } }
         return if (step.spec.gang) placeGang(step, candidates) else placeSingly(step, candidates)
     }
 
--- a/core/src/test/kotlin/org/auburnlever/workload/holds/HoldReviewTest.kt
+++ b/core/src/test/kotlin/org/auburnlever/workload/holds/HoldReviewTest.kt
@@ -106,4 +106,26 @@
 
         assertTrue(tookMillis < 500, "$tookMillis ms")
     }
+
+    @Test
+    fun `the plan for many workers takes much longer because waiting steps are overdue`() {
+        val many = (1..246).map { WorkerView(report("$it", rack = "r${it % 20}").ref, report("$it", "r${it % 20}")) }
+        workload.submit("routine", "a", long.copy(taskCount = 246, need = Resources(1_000, 1_000, 3)))
+        workload.assign("a", run = 1, workers = (0 until 246).associateWith { "${it + 1}" })
+        repeat(500) { workload.submit("routine", "w$it", step(tasks = 2, accelerators = 6, gang = it % 2 == 0)) }
+        val suspended = many.take(200).map {
+            LeftOutWorker(it, HoldRule.SUSPENDED_WORKER, report("1").capacity, "b", 1_000_000)
+        }
+        val fleet = { input().copy(workers = many.drop(200), leftOut = suspended) }
+        val measure = {
+            repeat(5) { plan(fleet()) }
+            val beganNanos = threads.currentThreadCpuTime
+            repeat(5) { plan(fleet()) }
+            (threads.currentThreadCpuTime - beganNanos) / 5_000
+        }
+        val early = measure()
+        workload.nowMillis += HoldLimit.MAX_HOLD_MILLIS
+        val late = measure()
+        assertTrue(late < early + 10_000, "$early us before the limit, $late us after it")
+    }
 }
