Add the review's tests of holds that still fail

Six tests of HoldReviewTest fail: room of a new urgent job beside an older one, joint reservations without an end, later steps that are overdue at once, refused starts that begin the wait anew, a rack-sensitive gang on suspended workers, and gangs that take turns.

--- a/core/src/test/kotlin/org/auburnlever/workload/holds/HoldReviewTest.kt
+++ b/core/src/test/kotlin/org/auburnlever/workload/holds/HoldReviewTest.kt
@@ -15,7 +15,11 @@
 import org.auburnlever.workload.runs.WorkerView
 import org.auburnlever.workload.state.Catalog
 import org.auburnlever.workload.state.CatalogService
+import org.auburnlever.workload.state.EndKind
 import org.auburnlever.workload.state.Resources
+import org.auburnlever.workload.state.RunEnd
+import org.auburnlever.workload.state.TaskId
+import org.auburnlever.workload.state.TaskRun
 import org.auburnlever.workload.state.WorkloadCommand
 import org.auburnlever.workload.step
 import kotlin.test.Test
@@ -62,6 +66,60 @@
         assertEquals(emptyList(), placedJobs(plan))
     }
 
+    @Test
+    fun `room of a new urgent job is lost because an older one waits for longer`() {
+        workload.submit("urgent", "a-wide", step(tasks = 33, gang = true))
+        occupy()
+        val joint = { input(SchedulingFeature.PREEMPTION_BUDGET).copy(guarantees = emptyMap()) }
+        workload.nowMillis += HoldLimit.MAX_HOLD_MILLIS
+        workload.submit("urgent", "u", step(tasks = 1, accelerators = 8))
+        val plan = plan(joint())
+
+        assertTrue(plan.holds.any { it.rule == HoldRule.URGENT_STEP })
+        assertEquals(3, plan.assignments.filter { it.step.job == "b" }.sumOf { it.workers.size })
+    }
+
+    @Test
+    fun `an urgent job keeps room for as long as it waits if preemptions are decided jointly`() {
+        workload.submit("routine", "a", long.copy(taskCount = 4, need = Resources(70_000, 1_000, 5)))
+        workload.assign("a", run = 1, workers = mapOf(0 to "1", 1 to "2", 2 to "3", 3 to "4"))
+        workload.submit("urgent", "u", step(tasks = 4, accelerators = 8, gang = true))
+        workload.submit("routine", "z", step(tasks = 1))
+        workload.nowMillis += HoldRule.URGENT_STEP.limitMillis + 1
+
+        val plan = plan(input(SchedulingFeature.PREEMPTION_BUDGET))
+        assertEquals(listOf("z"), placedJobs(plan), "${plan.holds}")
+    }
+
+    @Test
+    fun `a later step of an urgent job loses its room at once`() {
+        workload.submit("urgent", "u", step(tasks = 1), step(tasks = 1, accelerators = 8, dependsOn = listOf(0)))
+        workload.assign("u", run = 1, workers = mapOf(0 to "1"))
+        workload.nowMillis += 4_000
+        occupy()
+        workload.nowMillis += HoldLimit.MAX_HOLD_MILLIS
+        workload.end("u", index = 0, run = 1, kind = EndKind.DONE)
+
+        val plan = plan()
+        assertTrue(plan.holds.any { it.rule == HoldRule.URGENT_STEP })
+        assertEquals(3, plan.assignments.filter { it.step.job == "b" }.sumOf { it.workers.size })
+    }
+
+    @Test
+    fun `a refused start lets a job wait anew`() {
+        workload.submit("routine", "a", step(tasks = 1))
+        workload.assign("a", run = 1, workers = mapOf(0 to "1"))
+        workload.nowMillis += HoldLimit.MAX_HOLD_MILLIS - 100
+        val refused = RunEnd(TaskRun(TaskId("a", 0, 0, 0), 1), EndKind.LOST, checkpoint = "", unseen = true)
+        workload.apply(WorkloadCommand.RecordEnds(listOf(refused)))
+        workload.nowMillis += 100
+        val suspended = workers.map {
+            LeftOutWorker(it, HoldRule.SUSPENDED_WORKER, report("1").capacity, "b", workload.nowMillis + 40_000)
+        }
+
+        assertEquals(listOf("a"), placedJobs(plan(input().copy(workers = emptyList(), leftOut = suspended))))
+    }
+
     @Test
     fun `a gang of one task stands still while its data rack is full`() {
         val racks = workers.map { it.copy(report = it.report?.copy(labels = listOf("k", "r${it.ref.id}"))) }
@@ -128,4 +186,38 @@
         val late = measure()
         assertTrue(late < early + 10_000, "$early us before the limit, $late us after it")
     }
+
+    @Test
+    fun `a rack-sensitive gang gets suspended workers while others have room`() {
+        val racks = mapOf("1" to "r1", "2" to "r1", "3" to "r2", "4" to "r2", "5" to "r3")
+        val views = racks.map { (id, rack) -> WorkerView(report(id).ref, report(id, rack)) }
+        val suspended = views.take(2).map {
+            LeftOutWorker(it, HoldRule.SUSPENDED_WORKER, report("1").capacity, "b", 1_000_000)
+        }
+        workload.submit("routine", "a", step(tasks = 1))
+        workload.assign("a", run = 1, workers = mapOf(0 to "3"))
+        workload.submit("routine", "gang", step(tasks = 2, accelerators = 8, gang = true, rackSensitive = true))
+        workload.nowMillis += HoldLimit.MAX_HOLD_MILLIS
+
+        val plan = plan(input().copy(workers = views.drop(2), leftOut = suspended))
+        assertEquals(setOf("4", "5"), plan.assignments.flatMap { it.workers.values }.map { it.id }.toSet())
+    }
+
+    @Test
+    fun `gangs that take turns keep the free room of a busy fleet for ever`() {
+        val tasks = long.copy(need = Resources(16_000, 1_000, accelerators = 1))
+        workload.submit("routine", "a", tasks.copy(taskCount = 20))
+        workload.apply(WorkloadCommand.Assign(plan().assignments))
+        repeat(6) {
+            workload.submit("routine", "gang$it", tasks.copy(taskCount = 32, gang = true))
+            workload.nowMillis += 5_000
+        }
+        workload.submit("routine", "z", tasks)
+        val placed = (1..60).any {
+            workload.nowMillis += 1_000
+            "z" in placedJobs(plan())
+        }
+
+        assertTrue(placed, "no room for a ready task in 60 s")
+    }
 }
