--- /dev/null
+++ b/review/11/Case11.java
@@ -0,0 +1,95 @@
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+
+/** A job that an entry host refuses with 503 must never run, also while that host shuts down. */
+public final class Case11 {
+    private static final int CLIENTS = 24;
+    private static final long CYCLE_MILLIS = 1_500;
+    private static final long ACTIVE_MILLIS = 1_000;
+    private static final long GRACE_MILLIS = 6_000;
+    private static final String BODY = Json.write(Json.map("spec", "ms=50", "steps", List.of(
+        Json.map("count", 1, "cpu", 10, "memoryRequestMb", 10, "estimatedMs", 50))));
+
+    public static void main(String[] arguments) throws Exception {
+        Cluster.play("review/11", Case11::run);
+    }
+
+    private static boolean run(Cluster cluster, boolean trouble) throws Exception {
+        cluster.startAll(2, Cluster.state(7, List.of(Cluster.route("r-teinte", "/teinte/", 0, 2))));
+        List<Minion.Start> history = Minion.newHistory();
+        for (int i = 0; i < 8; i++) new Minion(cluster, i, history).start();
+        Thread.sleep(5_000);
+
+        Map<String, String> newIdByRefusedId = new ConcurrentHashMap<>();
+        long endMillis = cluster.millis() + 12_000;
+        List<Thread> clients = new ArrayList<>();
+        for (int i = 0; i < CLIENTS; i++) {
+            clients.add(Cluster.daemon("client", () -> handInJobs(cluster, newIdByRefusedId, endMillis)));
+        }
+        Thread.sleep(3_000);
+        if (trouble) {
+            Cluster.Node node = cluster.node("edge-0");
+            node.signal("TERM");
+            if (node.awaitEnd(GRACE_MILLIS)) {
+                cluster.log("edge-0 has ended by itself");
+            } else {
+                node.signal("KILL");
+            }
+        }
+        for (Thread client : clients) client.join();
+        Thread.sleep(3_000);
+
+        List<String> wrong = newIdByRefusedId.keySet().stream().filter(id -> ran(history, id)).toList();
+        for (String id : wrong) {
+            String newId = newIdByRefusedId.get(id);
+            cluster.log("job %s was refused and has run; its work handed in anew as %s has run: %s", id, newId,
+                ran(history, newId));
+        }
+        cluster.log("%d jobs refused, %d of them have run", newIdByRefusedId.size(), wrong.size());
+        return wrong.isEmpty();
+    }
+
+    /** Hands in jobs on one open channel, one after the other, for a part of each cycle. */
+    private static void handInJobs(Cluster cluster, Map<String, String> newIdByRefusedId, long endMillis) {
+        Http.Channel channel = new Http.Channel(cluster.entryIp(0), Cluster.ENTRY_PORT);
+        while (cluster.millis() < endMillis) {
+            long inCycleMillis = cluster.millis() % CYCLE_MILLIS;
+            if (inCycleMillis >= ACTIVE_MILLIS) {
+                pause(CYCLE_MILLIS - inCycleMillis);
+                continue;
+            }
+            String id = Cluster.newJobId();
+            Http.Answer answer = post(channel, id);
+            if (answer.status() == 503 || answer.status() == 429) {
+                // The refusal says that the job never runs, so its work is handed in as a new job at another host.
+                String newId = Cluster.newJobId();
+                newIdByRefusedId.put(id, newId);
+                Http.Answer second = post(new Http.Channel(cluster.entryIp(1), Cluster.ENTRY_PORT), newId);
+                cluster.log("POST %s at edge-0: %d; handed in anew as %s at edge-1: %d", id, answer.status(), newId,
+                    second.status());
+            } else if (!answer.isSuccess()) {
+                cluster.log("POST %s at edge-0: %s", id, answer.summary());
+            }
+            if (answer.status() == 0) return;
+            pause(20);
+        }
+    }
+
+    private static Http.Answer post(Http.Channel channel, String id) {
+        return channel.call("POST", "/teinte/" + id, Cluster.clientHeaders(), BODY, 3_000);
+    }
+
+    private static boolean ran(List<Minion.Start> history, String id) {
+        return history.stream().anyMatch(start -> start.job().equals(id));
+    }
+
+    private static void pause(long millis) {
+        try {
+            Thread.sleep(millis);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+}
