--- a/review/standins-2/Cluster.java
+++ b/review/standins-2/Cluster.java
@@ -218,14 +218,22 @@
         return nodes.stream().filter(it -> it.name.equals(name)).findFirst().orElseThrow();
     }
 
+    Node nodeAt(String ip) {
+        return nodes.stream().filter(it -> it.ip.equals(ip)).findFirst().orElseThrow();
+    }
+
+    /** Sends a desired state to one control host; returns whether it was acknowledged. */
+    boolean putConfigAt(String ip, String state, int timeoutMillis) {
+        Http.Answer answer = Http.once(ip, CONTROL_PORT, "PUT", "/config", Map.of(), state, timeoutMillis);
+        log("PUT /config at %s: %s", ip, answer.summary());
+        return answer.isSuccess();
+    }
+
     /** Sends a desired state to the control hosts in turn until one acknowledges it. */
     boolean putConfig(String state, long timeoutMillis) throws InterruptedException {
         long untilMillis = millis() + timeoutMillis;
         for (int attempt = 0; millis() < untilMillis; attempt++) {
-            String ip = controlIp(attempt % 3);
-            Http.Answer answer = Http.once(ip, CONTROL_PORT, "PUT", "/config", Map.of(), state, 3000);
-            log("PUT /config at %s: %s", ip, answer.summary());
-            if (answer.isSuccess()) return true;
+            if (putConfigAt(controlIp(attempt % 3), state, 3_000)) return true;
             Thread.sleep(300);
         }
         return false;
@@ -233,13 +241,18 @@
 
     /** Returns a desired state with one queue for each of [routes]. */
     static String state(long version, List<Map<String, Object>> routes) {
+        return state(version, routes, List.of(KEY));
+    }
+
+    /** Returns a desired state whose only client account has [keys]. */
+    static String state(long version, List<Map<String, Object>> routes, List<String> keys) {
         return Json.write(Json.map(
             "version", version, "routes", routes,
             "services", List.of(Json.map("name", SERVICE, "healthCheckPath", "/health", "maxConnections", 64,
                 "protocol", "h1", "tls", false, "enforcesCapacity", true, "standby", false)),
             "limits", Json.map("maxHeaderBytes", 16384, "maxBodyBytes", 262144, "headerTimeoutMs", 3000,
                 "idleTimeoutMs", 15000),
-            "tenants", List.of(Json.map("name", "kaje80", "apiKeys", List.of(KEY), "priority", 1,
+            "tenants", List.of(Json.map("name", "kaje80", "apiKeys", keys, "priority", 1,
                 "guaranteed", Json.map("gpus", 8)))));
     }
 
--- a/review/standins-2/Minion.java
+++ b/review/standins-2/Minion.java
@@ -94,6 +94,12 @@
         return new CopyOnWriteArrayList<>();
     }
 
+    /** Returns the address of the control host that the last answer to a ping named; null if none did. */
+    String leaderIp() {
+        String named = pingAddress;
+        return named == null ? null : named.substring(0, named.indexOf(':'));
+    }
+
     boolean isUp() {
         return up;
     }
