--- a/review/standins-2/Cluster.java
+++ b/review/standins-2/Cluster.java
@@ -218,6 +218,10 @@
         return nodes.stream().filter(it -> it.name.equals(name)).findFirst().orElseThrow();
     }
 
+    List<Node> controls() {
+        return nodes.stream().filter(it -> it.role.equals("control")).toList();
+    }
+
     Node nodeAt(String ip) {
         return nodes.stream().filter(it -> it.ip.equals(ip)).findFirst().orElseThrow();
     }
