Give up the runs of a departing worker only when it has certainly ended

Callers saw a task run on two workers at the same time (TWICE): a worker announces its shutdown and is cut off before the acknowledgement reaches it. It works on, as the protocol allows, until it ends some seconds later, while the task starts again elsewhere 2.5 s after the announcement.

Cause: lossOf took the announcement, one second and one call without an answer for the end of the worker. Neither excludes that it runs, and its lease was still valid. Answers at a former address of a worker were also taken for answers at its current one.

Change: WorkerLoss.kt lists the signs that exclude a running process, and holds the only decision on them. A worker that drains or left has ended when its current address refuses connections; otherwise its lease is waited for. Since that costs callers time, a worker that drains gets leases of 2 s with shorter polls, and one that has announced its shutdown none.

The test "the runs of a draining worker that left are recorded as lost after a second" let any call without an answer count as a refused connection, which is the fault. It now passes the refusal on as such and expects the loss within 100 ms in place of 1,100 ms.

Measured: six new tests of LostWorkerTest and the changed one; four of them and the changed one failed before.

--- a/core/src/main/kotlin/org/auburnlever/workload/WorkloadLimits.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/WorkloadLimits.kt
@@ -33,10 +33,16 @@
     val reportLimitMillis: Long get() = reportMillis * 2 + reportMillis / 2
 
     /** Time from sending an order until its lease has certainly expired: clocks may be 2% slow, calls take time. */
-    val leaseSafeMillis: Long get() = safe(leaseMillis)
+    val leaseSafeMillis: Long get() = safeMillis(leaseMillis)
+
+    /**
+     * Lease of a worker that drains. Nothing but the end of the lease may show that the worker has ended, and the tasks
+     * that it ran start again only then.
+     */
+    val drainingLeaseMillis: Long get() = minOf(leaseMillis, DRAINING_LEASE_MILLIS)
 
     /** The same for an order whose deadline was computed for another clock, so that only the worker's limit applies. */
-    val longestLeaseSafeMillis: Long get() = safe(maxOf(leaseMillis, longestLeaseMillis))
+    val longestLeaseSafeMillis: Long get() = safeMillis(maxOf(leaseMillis, longestLeaseMillis))
 
     /** Time from the answer to a stop until the run has certainly ended and its end is listed. */
     val stopSafeMillis: Long get() = stopMillis + CALL_SLACK_MILLIS
@@ -44,11 +50,16 @@
     /** Time from the decision to preempt work until the preempting task begins. */
     val preemptionMillis: Long get() = stopMillis + PREEMPTION_CALLS_MILLIS
 
-    private fun safe(lease: Long): Long = lease + lease * CLOCK_ERROR_PERCENT / PERCENT + CALL_SLACK_MILLIS
+    /** Returns the time after which a lease that was ordered for [leaseMillis] has certainly expired. */
+    internal fun safeMillis(leaseMillis: Long): Long =
+        leaseMillis + leaseMillis * CLOCK_ERROR_PERCENT / PERCENT + CALL_SLACK_MILLIS
 
     private companion object {
         /** Three polls of 2 s; a shorter lease would end the work of a worker that is unreachable for a moment. */
         const val LEASE_MILLIS = 6_000L
+
+        /** Three polls, which wait for half a second here, and the time that they travel. */
+        const val DRAINING_LEASE_MILLIS = 2_000L
         const val REPORT_MILLIS = 1_500L
         const val JOB_RETENTION_MILLIS = 150_000L
         const val STOP_MILLIS = 900L
--- a/core/src/main/kotlin/org/auburnlever/workload/runs/LostRuns.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/runs/LostRuns.kt
@@ -89,27 +89,8 @@
     }
 }
 
-/**
- * Returns why no run on the worker [ref] can be active any more, or null if one can.
- *
- * The end of the lease needs no further sign of failure: it is only extended while the worker lists its runs.
- */
-private fun WorkerView.lossOf(ref: WorkerRef, nowMillis: Long): WorkerLoss? {
-    val left = departureMillis.let { it != null && nowMillis - it >= DEPARTURE_GRACE_MILLIS && failedCalls > 0 }
-    return when {
-        this.ref.startMillis > ref.startMillis -> WorkerLoss.RESTARTED
-        left -> WorkerLoss.LEFT
-        replaced -> WorkerLoss.REPLACED
-        nowMillis >= leaseEndMillis -> WorkerLoss.LEASE_EXPIRED
-        else -> null
-    }
-}
-
 /** Longer than a worker takes to begin a run and to list it. */
 private const val START_PHASE_MILLIS = 1_000L
 
 /** A task that has worked for this long is not suspected of a later crash. */
 private const val HARMLESS_AFTER_MILLIS = 10_000L
-
-/** Time after the announcement of a shutdown by which the worker has ended. */
-private const val DEPARTURE_GRACE_MILLIS = 1_000L
--- a/core/src/main/kotlin/org/auburnlever/workload/runs/WorkerLoss.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/runs/WorkerLoss.kt
@@ -1,6 +1,14 @@
 package org.auburnlever.workload.runs
 
-/** Why no run of a worker can be active any more. */
+import org.auburnlever.workload.state.WorkerRef
+
+/**
+ * Why no run of a worker can be active any more.
+ *
+ * Only a sign that excludes a running process is one. Others don't count, as a worker that is cut off shows them too
+ * and works on until its lease expires: an announced shutdown, whose acknowledgement may be lost; a call that times
+ * out; a connection that is closed or reset; reports that don't come.
+ */
 internal enum class WorkerLoss {
     /** A later incarnation has started under the worker's id. */
     RESTARTED,
@@ -8,9 +16,22 @@
     /** Another worker answers at its address. */
     REPLACED,
 
-    /** It announced its shutdown and does not answer. */
+    /** It was to shut down, and nothing listens at its address. */
     LEFT,
 
     /** It did not list its runs for as long as its lease lasts. */
     LEASE_EXPIRED,
 }
+
+/**
+ * Returns why no run on the worker [ref] can be active any more, or null if one can.
+ *
+ * The end of the lease needs no further sign of failure: it is only extended while the worker lists its runs.
+ */
+internal fun WorkerView.lossOf(ref: WorkerRef, nowMillis: Long): WorkerLoss? = when {
+    this.ref.startMillis > ref.startMillis -> WorkerLoss.RESTARTED
+    replaced -> WorkerLoss.REPLACED
+    shutsDown && refusesConnections -> WorkerLoss.LEFT
+    nowMillis >= leaseEndMillis -> WorkerLoss.LEASE_EXPIRED
+    else -> null
+}
--- a/core/src/main/kotlin/org/auburnlever/workload/runs/WorkerPolling.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/runs/WorkerPolling.kt
@@ -10,22 +10,26 @@
 /**
  * Sends the polls that are due; they extend leases, counted from [confirmedMillis].
  *
- * The workers in [watched] answer sooner, since what they measure is needed more often.
+ * The workers in [watched] answer sooner, since what they measure is needed more often, and so do those that drain, as
+ * their leases are short.
  */
 internal fun LeaderState.pollWorkers(confirmedMillis: Long, nowMillis: Long, watched: Set<String> = emptySet()) {
     val busy = runs.values.map { it.worker.id }.toSet()
     workers.values.filter { it.dueForPoll(it.ref.id in busy, limits, nowMillis) }.forEach { due ->
         val view = if (due.pollSentMillis == null) due else due.copy(failedPolls = due.failedPolls + 1)
         // The lease of a worker that does not list its runs is not extended, so that they can be recorded as lost when
-        // it expires. Nor is it while the worker's clock is unknown: too late a deadline would give it the longest
-        // lease that it grants.
-        val extends = view.failedCalls == 0 && view.failedPolls == 0 && view.clockReadMillis > 0
+        // it expires. Nor is that of a worker that has announced its shutdown, as nothing else may show its end; nor is
+        // it while the worker's clock is unknown: too late a deadline would give it the longest lease that it grants.
+        val answers = view.failedCalls == 0 && view.failedPolls == 0
+        val extends = answers && !view.departed && view.clockReadMillis > 0
         val ageMillis = nowMillis - confirmedMillis
-        val deadlineMillis = view.clockNowMillis(nowMillis) + limits.leaseMillis - ageMillis
+        val draining = view.report?.draining == true
+        val leaseMillis = if (draining) limits.drainingLeaseMillis else limits.leaseMillis
+        val deadlineMillis = view.clockNowMillis(nowMillis) + leaseMillis - ageMillis
         // A deadline never shortens a lease, and an earlier order may have given a longer one.
-        val extendedMillis = if (extends) nowMillis + limits.leaseSafeMillis else 0
+        val extendedMillis = if (extends) nowMillis + limits.safeMillis(leaseMillis) else 0
         put(view.copy(pollSentMillis = nowMillis, leaseEndMillis = maxOf(view.leaseEndMillis, extendedMillis)))
-        val longestWaitMillis = if (view.ref.id in watched) WATCHED_WAIT_MILLIS else POLL_WAIT_MILLIS
+        val longestWaitMillis = if (draining || view.ref.id in watched) SHORT_WAIT_MILLIS else POLL_WAIT_MILLIS
         val poll = WorkerOrder.Poll(
             worker = view.ref,
             fencingToken = term,
@@ -172,8 +176,8 @@
 /** Time that a poll waits for an end; three polls fit into a lease. */
 private const val POLL_WAIT_MILLIS = 1_500L
 
-/** The same for a worker whose serving tasks have little slack; figures cover the last half second. */
-private const val WATCHED_WAIT_MILLIS = 500L
+/** The same for a worker that drains or whose serving tasks have little slack; figures cover the last half second. */
+private const val SHORT_WAIT_MILLIS = 500L
 private const val FAILED_POLL_DELAY_MILLIS = 300L
 
 /** Time after which no answer comes any more; the driver gives up an order in less than half of it. */
--- a/core/src/main/kotlin/org/auburnlever/workload/runs/WorkerReports.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/runs/WorkerReports.kt
@@ -21,6 +21,7 @@
             lastContactMillis = nowMillis,
             departureMillis = null,
             replaced = false,
+            refusesConnections = base.refusesConnections && base.ref.address == report.ref.address,
         ).withClock(report.clockMillis, nowMillis),
     )
     if (newIncarnation || report.draining != wasDraining) logReport(report, newIncarnation)
@@ -43,13 +44,18 @@
     logDecision("worker_left", workerId)
 }
 
-/** Updates from [answer] whether the worker [ref] can be reached, and what its clock shows. */
+/**
+ * Updates from [answer] whether the worker [ref] can be reached, and what its clock shows.
+ *
+ * Who answers or refuses connections at a former address of the worker says nothing about it.
+ */
 internal fun LeaderState.updateReachability(ref: WorkerRef, answer: OrderAnswer, nowMillis: Long) {
-    val known = viewOf(ref) ?: return
+    val known = viewOf(ref)?.takeIf { it.ref.address == ref.address } ?: return
     val updated = when (answer) {
         is OrderAnswer.Done -> known.withContact(answer.clockMillis, nowMillis)
         is OrderAnswer.Listed -> known.withContact(answer.clockMillis, nowMillis)
-        is OrderAnswer.Refused -> known.copy(lastContactMillis = nowMillis, failedCalls = 0)
+        is OrderAnswer.Refused ->
+            known.copy(lastContactMillis = nowMillis, failedCalls = 0, refusesConnections = false)
         OrderAnswer.OtherIncarnation -> known.copy(replaced = true, failedCalls = known.failedCalls + 1)
         is OrderAnswer.Unknown ->
             known.copy(failedCalls = known.failedCalls + 1, refusesConnections = answer.connectionRefused)
@@ -123,7 +129,8 @@
     }
 
 private fun WorkerView.withContact(shownMillis: Long, nowMillis: Long): WorkerView =
-    copy(lastContactMillis = maxOf(lastContactMillis, nowMillis), failedCalls = 0).withClock(shownMillis, nowMillis)
+    copy(lastContactMillis = maxOf(lastContactMillis, nowMillis), failedCalls = 0, refusesConnections = false)
+        .withClock(shownMillis, nowMillis)
 
 private const val SUSPENDING_FAILURES = 2
 
--- a/core/src/main/kotlin/org/auburnlever/workload/runs/WorkerView.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/runs/WorkerView.kt
@@ -50,7 +50,8 @@
  *   order
  * @property stalledUntilMillis time before which the worker gets no new work, because a run makes no progress
  * @property stalledRun the run that made no progress when [stalledUntilMillis] was set
- * @property refusesConnections whether the newest failed call was refused because nothing listens at the address
+ * @property refusesConnections whether the newest failed call to the current address was refused because nothing
+ *   listens there
  * @property predecessorLeft whether the earlier incarnation under this id drained or left before this one started
  * @property departureMillis when the worker announced its shutdown
  * @property replaced whether another worker has answered at its address since its last report, so that it has ended
@@ -83,6 +84,9 @@
     /** Whether the worker has announced its shutdown or has ended. */
     val departed: Boolean get() = departureMillis != null || replaced
 
+    /** Whether the worker has reported that it drains, or has announced its shutdown. */
+    val shutsDown: Boolean get() = departureMillis != null || report?.draining == true
+
     /** Returns whether the worker may get new work: it is reachable and not left out because of its runs. */
     fun usable(nowMillis: Long, reportLimitMillis: Long): Boolean =
         reachable(nowMillis, reportLimitMillis) && nowMillis >= suspendedUntilMillis && nowMillis >= stalledUntilMillis
--- a/core/src/test/kotlin/org/auburnlever/workload/CoordinatorScheduleTest.kt
+++ b/core/src/test/kotlin/org/auburnlever/workload/CoordinatorScheduleTest.kt
@@ -218,7 +218,10 @@
             at(nowMillis + random.nextLong(MAX_DRAIN_MILLIS)) {
                 if (worker.running) {
                     leave(worker)
-                    replace(worker)
+                    // Without an acknowledgement a worker serves on for some seconds; it may be cut off then.
+                    val servesOnMillis = if (random.nextBoolean()) random.nextLong(MAX_SERVE_ON_MILLIS) else 0
+                    if (random.nextBoolean()) partitionedUntilMillis[worker.address] = nowMillis + servesOnMillis
+                    at(nowMillis + servesOnMillis) { replace(worker) }
                 }
             }
         }
@@ -284,7 +287,9 @@
             if (isPartitioned(worker) || stale) return
             val workMillis = workMillis(order, random.nextLong(MAX_WORK_MILLIS))
             val reply = when {
-                !worker.running -> OrderAnswer.Unknown("connection refused")
+                // The machine of a worker that has ended may refuse connections or be gone.
+                !worker.running && random.nextBoolean() -> OrderAnswer.Unknown("refused", connectionRefused = true)
+                !worker.running -> return
                 sameId -> worker.carryOut(order, nowMillis, workMillis)
                 else -> OrderAnswer.OtherIncarnation
             }
@@ -393,6 +398,7 @@
         /** Longer than a call, so that a leader may or may not see one fail before another worker answers. */
         const val MAX_VACANT_MILLIS = 3_000L
         const val MAX_DRAIN_MILLIS = 5_000L
+        const val MAX_SERVE_ON_MILLIS = 6_000L
 
         /** Longer than a lease, so that runs may end with their lease while the worker refuses polls. */
         const val MAX_UNHEALTHY_MILLIS = 12_000L
--- a/core/src/test/kotlin/org/auburnlever/workload/CoordinatorTest.kt
+++ b/core/src/test/kotlin/org/auburnlever/workload/CoordinatorTest.kt
@@ -376,13 +376,13 @@
 
     /** Guards against runs of a worker that has left for good and are waited for until their lease expires. */
     @Test
-    fun `the runs of a draining worker that left are recorded as lost after a second`() {
+    fun `the runs of a departed worker that refuses connections are recorded as lost within a second`() {
         val start = startJob()
         answer(start, OrderAnswer.Done(clockMillis = 100_050))
         run(coordinator.onReport(report("1", draining = true, sequence = 2), workload.nowMillis))
         run(coordinator.onLeave("1", workload.nowMillis))
-        answer(take<WorkerOrder.Poll>(), OrderAnswer.Unknown("connection refused"))
-        tick(afterMillis = 1_100)
+        answer(take<WorkerOrder.Poll>(), OrderAnswer.Unknown("connection refused", connectionRefused = true))
+        tick(afterMillis = 100)
 
         assertEquals(TaskPhase.WAITING, workload.state.task(start.run.task)?.phase)
     }
--- a/core/src/test/kotlin/org/auburnlever/workload/runs/LostWorkerTest.kt
+++ b/core/src/test/kotlin/org/auburnlever/workload/runs/LostWorkerTest.kt
@@ -87,4 +87,87 @@
 
         assertEquals(TaskPhase.ASSIGNED, phase)
     }
+
+    /** Lets the worker announce its shutdown, whose acknowledgement it may not receive. */
+    private fun announceDeparture() {
+        run(coordinator.onReport(report("1", draining = true, sequence = 2), workload.nowMillis))
+        run(coordinator.onLeave("1", workload.nowMillis))
+    }
+
+    /** Guards against a task that runs twice: a worker that is cut off as it announces its shutdown serves on. */
+    @Test
+    fun `a run of a departing worker that is cut off is given up only when its lease has expired`() {
+        answer(startJob(), OrderAnswer.Done(clockMillis = 100_050))
+        announceDeparture()
+        answerAllFor(limits.leaseMillis, OrderAnswer.Unknown("no answer"))
+        assertEquals(TaskPhase.ASSIGNED, phase)
+
+        answerAllFor(limits.leaseSafeMillis - limits.leaseMillis + 100, OrderAnswer.Unknown("no answer"))
+        assertEquals(TaskPhase.WAITING, phase)
+    }
+
+    /** Guards against the same after an election: the new leader knows the worker by its reports only. */
+    @Test
+    fun `a new leader waits for the lease of a departing worker that is cut off`() {
+        answer(startJob(), OrderAnswer.Done(clockMillis = 100_050))
+        tick()
+        electLeader()
+        announceDeparture()
+        answerAllFor(limits.leaseMillis, OrderAnswer.Unknown("no answer"))
+        assertEquals(TaskPhase.ASSIGNED, phase)
+
+        answerAllFor(limits.leaseSafeMillis, OrderAnswer.Unknown("no answer"))
+        assertEquals(TaskPhase.WAITING, phase)
+    }
+
+    /** Guards against a lease that is extended after the announcement, so that its end is waited for in vain. */
+    @Test
+    fun `the lease of a departing worker is not extended`() {
+        val start = startJob()
+        answer(start, OrderAnswer.Done(clockMillis = 100_050))
+        announceDeparture()
+        answerAllFor(limits.leaseMillis / 2, listed(active = listOf(ActiveRun(start.run, "", percent = 1))))
+        answerAllFor(limits.leaseSafeMillis - limits.leaseMillis / 2 + 100, OrderAnswer.Unknown("no answer"))
+
+        assertEquals(TaskPhase.WAITING, phase)
+    }
+
+    /** Guards against a task that has nothing running for 3 s after a planned end of which only silence tells. */
+    @Test
+    fun `a run of a worker that leaves after its drain is given up within three seconds`() {
+        val start = startJob()
+        answer(start, OrderAnswer.Done(clockMillis = 100_050))
+        run(coordinator.onReport(report("1", draining = true, sequence = 2), workload.nowMillis))
+        answerAllFor(millis = 4_500, listed(active = listOf(ActiveRun(start.run, "", percent = 1))))
+        run(coordinator.onLeave("1", workload.nowMillis))
+        answerAllFor(millis = 1_500, OrderAnswer.Unknown("no answer"))
+        assertEquals(TaskPhase.ASSIGNED, phase)
+
+        answerAllFor(millis = 1_200, OrderAnswer.Unknown("no answer"))
+        assertEquals(TaskPhase.WAITING, phase)
+    }
+
+    /** Guards against a task that waits for a lease although its worker has shut down without an acknowledgement. */
+    @Test
+    fun `a run of a draining worker whose address refuses connections is given up at once`() {
+        answer(startJob(), OrderAnswer.Done(clockMillis = 100_050))
+        run(coordinator.onReport(report("1", draining = true, sequence = 2), workload.nowMillis))
+        answerAllFor(millis = 200, OrderAnswer.Unknown("connection refused", connectionRefused = true))
+
+        assertEquals(TaskPhase.WAITING, phase)
+    }
+
+    /** Guards against a run that is given up because a former address of its worker is vacant or in use again. */
+    @Test
+    fun `answers at a former address do not show that a worker has ended`() {
+        answer(startJob(), OrderAnswer.Done(clockMillis = 100_050))
+        val poll = take<WorkerOrder.Poll>()
+        val moved = report("1", draining = true, sequence = 2)
+        run(coordinator.onReport(moved.copy(ref = moved.ref.copy(address = "10.0.0.2:1")), workload.nowMillis))
+        answer(poll, OrderAnswer.Unknown("connection refused", connectionRefused = true))
+        answer(poll, OrderAnswer.OtherIncarnation)
+        tick()
+
+        assertEquals(TaskPhase.ASSIGNED, phase)
+    }
 }
