Hand the vote of a control host over before it shuts down

Callers saw the group end (CONFIG, LOST): after two planned replacements of control hosts, catchUpS apart, three sound hosts ran without a leader for good, the desired state couldn't be read, and accepted jobs stood still.

Cause: a voter was replaced only after 4 s without an answer, also when its host knew that it was leaving, so the group had its three voters 4.5 to 5.0 s after the SIGTERM. The next host may be taken 3 s after it. With two dead voters of three no change of the membership is committed any more.

Change: a host that gets SIGTERM announces it to all hosts and votes on for up to 2 s. The leader promotes a learner that has the log first, and removes the leaving voter then, so that on the way a majority needs no single host. All hosts keep the announcement, so that a new leader goes on between the steps. A voter that is gone without a word is replaced 1 s before catchUpS, which is read from the settings now. New hosts ask all known hosts for admission at the same time, in place of one after the other.

VoterChangeTest passes the knowledge of the replicas on as one value, as voterChange takes it so now; its cases and bounds are the same, with one more time for catchUpS of 6 s. The replaced host is lost after 3,200 ms there, where it was 4,100 ms.

--- a/core/src/main/kotlin/org/auburnlever/peer/PeerRequest.kt
+++ b/core/src/main/kotlin/org/auburnlever/peer/PeerRequest.kt
@@ -61,6 +61,14 @@
     @SerialName("admit")
     data class Admit(val group: GroupName, val replica: ReplicaId) : PeerRequest
 
+    /**
+     * Announces that the process of [replica] of [group] shuts down. The reply is `Ok` if the receiver leads the group
+     * and the replica's vote is not needed any more.
+     */
+    @Serializable
+    @SerialName("depart")
+    data class Depart(val group: GroupName, val replica: ReplicaId) : PeerRequest
+
     /** Sends [call] to the leader of the workload group. */
     @Serializable
     @SerialName("fleet")
--- a/node/src/main/kotlin/org/auburnlever/fleet/ControlHost.kt
+++ b/node/src/main/kotlin/org/auburnlever/fleet/ControlHost.kt
@@ -14,6 +14,7 @@
 import kotlinx.coroutines.cancel
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.runBlocking
+import kotlinx.coroutines.withTimeoutOrNull
 import org.auburnlever.consensus.MembershipChange
 import org.auburnlever.consensus.ReplicaId
 import org.auburnlever.consensus.ReplicaInput
@@ -74,6 +75,7 @@
         val runner: GroupRunner<WorkloadState, WorkloadReply>,
         val leader: WorkloadLeader,
         val callHandler: FleetCallHandler,
+        val membership: FleetMembership,
     )
 
     /** Calls the leader of the workload group, which may be this host. */
@@ -109,12 +111,13 @@
                 Gauge.builder("auburn.evacuations") { runner.view.state.evacuations.size }.register(registry)
                 val decisions = DecisionLog(registry)
                 val leader = WorkloadLeader(runner, workers, settings, scope, clock, decisions)
-                components = Components(runner, leader, FleetCallHandler(runner, leader, decisions, clock))
+                val report = GroupReport(runner, decisions, registry)
+                val membership = FleetMembership(runner, peers, transport, settings, clock, report)
+                val callHandler = FleetCallHandler(runner, leader, decisions, clock)
+                components = Components(runner, leader, callHandler, membership)
                 runner.start()
                 runBlocking { transport.start() }
                 settings.seedHosts.forEach(peers::dial)
-                val report = GroupReport(runner, decisions, registry)
-                val membership = FleetMembership(runner, peers, transport, settings, clock, report)
                 scope.launch { membership.maintain() }
                 logger.info { "control host ${self.host} started with replica ${opened.replica}" }
             }
@@ -129,9 +132,12 @@
     /** Waits until the host is shut down or fails; the error is the reason of the failure. */
     fun awaitEnd(): Result<Unit, String> = end.get()
 
-    /** Transfers the leadership if this host has it, and stops. */
+    /** Transfers the leadership if this host has it, hands its vote over if another host can take it, and stops. */
     fun shutdown() {
-        components?.runner?.let { transferLeadership(it) }
+        components?.let {
+            transferLeadership(it.runner)
+            handOverVote(it.membership)
+        }
         scope.cancel()
         components?.runner?.stop()
         transport.close()
@@ -155,6 +161,12 @@
         while (runner.view.isLeader && clock.nowMillis() < untilMillis) Thread.sleep(TRANSFER_POLL_MILLIS)
     }
 
+    /** Votes on until another host votes in its place; a host that replaces this one may still be starting. */
+    private fun handOverVote(membership: FleetMembership) = runBlocking {
+        val done = withTimeoutOrNull(HANDOVER_TIMEOUT_MILLIS) { membership.handOverVote() }
+        logger.info { if (done == null) "no other host took the vote" else "the vote is not needed any more" }
+    }
+
     private fun fail(message: String, cause: Throwable?) {
         logger.error(cause) { message }
         end.complete(Err(message))
@@ -188,6 +200,7 @@
             return when (request) {
                 is PeerRequest.Fleet -> components.callHandler.handle(request.call).toReply { PeerReply.Fleet(it) }
                 is PeerRequest.Admit -> admit(components, request)
+                is PeerRequest.Depart -> components.membership.onDeparture(request.replica)
                 is PeerRequest.FleetMembers -> members(components.runner.view, request.withQueues)
                 else -> PeerReply.NotDone("a control host does not handle this call")
             }
@@ -210,5 +223,8 @@
         /** A transfer takes one round trip and an election. The others hold an election without it after 1 s. */
         const val TRANSFER_TIMEOUT_MILLIS = 1_000L
         const val TRANSFER_POLL_MILLIS = 20L
+
+        /** Time in which a host that was started just before this one is shut down has joined the group. */
+        const val HANDOVER_TIMEOUT_MILLIS = 2_000L
     }
 }
--- a/node/src/main/kotlin/org/auburnlever/fleet/FleetMembership.kt
+++ b/node/src/main/kotlin/org/auburnlever/fleet/FleetMembership.kt
@@ -1,11 +1,18 @@
 package org.auburnlever.fleet
 
-import com.github.michaelbull.result.onSuccess
+import com.github.michaelbull.result.getOr
 import io.github.oshai.kotlinlogging.KotlinLogging
+import kotlinx.coroutines.async
+import kotlinx.coroutines.awaitAll
+import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.currentCoroutineContext
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.isActive
+import kotlinx.coroutines.launch
 import org.auburnlever.consensus.ReplicaId
+import org.auburnlever.consensus.ReplicaRole
+import org.auburnlever.consensus.ReplicationMode
+import org.auburnlever.consensus.voters
 import org.auburnlever.host.GroupRunner
 import org.auburnlever.host.GroupView
 import org.auburnlever.host.HostClock
@@ -26,13 +33,47 @@
     private val clock: HostClock,
     private val report: GroupReport,
 ) {
+    private val policy = VoterPolicy.of(settings.toleratedHostLosses, settings.catchUpMillis)
+    private val departures = Departures()
     private var leadsInTerm = -1L
     private var leadsSinceMillis = 0L
 
     /** Checks the membership periodically and does what is due, until the coroutine is cancelled. */
-    suspend fun maintain() {
+    suspend fun maintain() = coroutineScope {
+        launch { maintainMembership() }
+        launch { maintainVoters() }
+    }
+
+    /**
+     * Announces that this host shuts down, and returns once another host votes in its place.
+     *
+     * Does not return while no other host can take the vote; the caller limits the time.
+     */
+    suspend fun handOverVote() {
+        val replica = runner.view.replica
+        while (runner.view.role.let { it != null && it != ReplicaRole.LEARNER }) {
+            val replies = callAll(PeerRequest.Depart(WORKLOAD_GROUP, replica))
+            if (PeerReply.Ok in replies) return
+            delay(ANNOUNCEMENT_INTERVAL_MILLIS)
+        }
+    }
+
+    /** Records that [replica] shuts down; the reply is `Ok` once it needs to vote no more. */
+    fun onDeparture(replica: ReplicaId): PeerReply {
+        departures.announce(replica, clock.nowMillis())
+        val view = runner.view
+        // Until the removal is committed, a later leader may still need the vote.
+        val votes = replica in view.membership.voters || replica in view.committedMembership.voters
+        return when {
+            !view.isLeader -> PeerReply.NotLeader(view.leader?.host, view.term)
+            votes -> PeerReply.NotDone("the vote of $replica is not handed over yet")
+            else -> PeerReply.Ok
+        }
+    }
+
+    private suspend fun maintainMembership() {
         while (currentCoroutineContext().isActive) {
-            delay(MAINTENANCE_INTERVAL_MILLIS)
+            delay(if (runner.view.role == null) ADMISSION_INTERVAL_MILLIS else MAINTENANCE_INTERVAL_MILLIS)
             report.reportIfDue(clock.nowMillis())
             val view = runner.view
             if (view.role == null) {
@@ -40,6 +81,13 @@
             } else {
                 peers.replace(view.membership.roles.keys.map { it.host })
             }
+        }
+    }
+
+    private suspend fun maintainVoters() {
+        while (currentCoroutineContext().isActive) {
+            delay(VOTER_CHECK_INTERVAL_MILLIS)
+            val view = runner.view
             if (view.isLeader) changeVoters(view)
         }
     }
@@ -47,30 +95,41 @@
     /** Asks the known hosts to admit [replica], which is new or lost its disk. The leader admits it as a learner. */
     private suspend fun requestAdmission(replica: ReplicaId) {
         peers.refresh()
+        val replies = callAll(PeerRequest.Admit(WORKLOAD_GROUP, replica))
+        logger.info { "replica $replica requested admission; it is a member: ${PeerReply.Ok in replies}" }
+    }
+
+    /** Sends [request] to all known hosts at the same time, as some may be gone, and returns the replies. */
+    private suspend fun callAll(request: PeerRequest): List<PeerReply> = coroutineScope {
         val hosts = (peers.members() + settings.seedHosts).distinct().filter { it != settings.self }
-        logger.info { "replica $replica is not a member; requesting admission from $hosts" }
-        hosts.forEach { host ->
-            transport.call(host, PeerRequest.Admit(WORKLOAD_GROUP, replica), ADMISSION_TIMEOUT_MILLIS)
-                .onSuccess { if (it is PeerReply.Ok) logger.info { "host $host admitted replica $replica" } }
-        }
+        hosts.map { host -> async { transport.call(host, request, CALL_TIMEOUT_MILLIS).getOr(null) } }
+            .awaitAll().filterNotNull()
     }
 
     private suspend fun changeVoters(view: GroupView<WorkloadState>) {
-        val wanted = settings.toleratedHostLosses * 2 + 1
         val nowMillis = clock.nowMillis()
         if (view.term != leadsInTerm) {
             leadsInTerm = view.term
             leadsSinceMillis = nowMillis
         }
-        val lastAnswers =
-            lastAnswerMillis(view.peers.mapValues { it.value.lastAnswerMillis }, view.membership, leadsSinceMillis)
-        val change = voterChange(view.membership, view.replica, lastAnswers, wanted, nowMillis) ?: return
+        val health = ReplicaHealth(
+            answeredMillis = view.peers.mapNotNull { (peer, it) -> it.lastAnswerMillis?.let { peer to it } }.toMap(),
+            replicating = view.peers.filterValues { it.mode == ReplicationMode.REPLICATE }.keys,
+            departures = departures.recent(nowMillis),
+            leadsSinceMillis = leadsSinceMillis,
+        )
+        val change = voterChange(view.membership, view.replica, health, policy, nowMillis) ?: return
         val result = runner.change(change)
         logger.info { "membership change $change: $result" }
     }
 
     private companion object {
         const val MAINTENANCE_INTERVAL_MILLIS = 500L
-        const val ADMISSION_TIMEOUT_MILLIS = 1_000L
+
+        /** A new host is of use only once it is admitted. */
+        const val ADMISSION_INTERVAL_MILLIS = 200L
+        const val VOTER_CHECK_INTERVAL_MILLIS = 200L
+        const val ANNOUNCEMENT_INTERVAL_MILLIS = 100L
+        const val CALL_TIMEOUT_MILLIS = 1_000L
     }
 }
--- a/node/src/main/kotlin/org/auburnlever/fleet/FleetSettings.kt
+++ b/node/src/main/kotlin/org/auburnlever/fleet/FleetSettings.kt
@@ -14,6 +14,8 @@
  * @property dataFolder folder of the log of a control host; null on entry hosts
  * @property firstStart whether the whole deployment is started for the first time, with empty disks
  * @property toleratedHostLosses number of control hosts that may be lost at the same time
+ * @property catchUpMillis time from the start of a replacement host after which the operators count it as healthy, so
+ *   that another host may be lost
  * @property features scheduling features that take effect in this deployment
  */
 data class FleetSettings(
@@ -26,4 +28,10 @@
     val sharedKey: ByteArray,
     val limits: WorkloadLimits,
     val features: Set<SchedulingFeature> = emptySet(),
-)
+    val catchUpMillis: Long = DEFAULT_CATCH_UP_MILLIS,
+) {
+    private companion object {
+        /** Shortest time that the operators' deployments set. */
+        const val DEFAULT_CATCH_UP_MILLIS = 4_000L
+    }
+}
--- a/node/src/main/kotlin/org/auburnlever/host/HostPeerHandler.kt
+++ b/node/src/main/kotlin/org/auburnlever/host/HostPeerHandler.kt
@@ -54,7 +54,8 @@
             is PeerRequest.Dispatch -> components.dispatcher.dispatchForPeer(request)
             is PeerRequest.Heartbeat -> heartbeat(components, request)
             is PeerRequest.Admit -> admit(components, request)
-            is PeerRequest.Fleet, is PeerRequest.FleetMembers -> PeerReply.NotDone("this host has no workload group")
+            is PeerRequest.Fleet, is PeerRequest.FleetMembers, is PeerRequest.Depart ->
+                PeerReply.NotDone("this host has no workload group")
             PeerRequest.FetchBundle -> PeerReply.BundleInForce(components.activeBundle.bundle)
             PeerRequest.Dump -> PeerReply.Document(components.dump.dump().toString())
         }
--- a/node/src/main/kotlin/org/auburnlever/host/ReplicaDriver.kt
+++ b/node/src/main/kotlin/org/auburnlever/host/ReplicaDriver.kt
@@ -10,6 +10,7 @@
 import org.auburnlever.consensus.ReplicaSettings
 import org.auburnlever.consensus.ReplicaState
 import org.auburnlever.consensus.ReplicaStep
+import org.auburnlever.consensus.committedMembership
 import org.auburnlever.consensus.lastIndex
 import org.auburnlever.consensus.leader
 import org.auburnlever.consensus.membership
@@ -67,6 +68,7 @@
         commitIndex = replica.commitIndex,
         lastIndex = replica.lastIndex,
         membership = replica.membership,
+        committedMembership = replica.committedMembership,
         peers = replica.peers,
     )
 
--- a/node/src/test/kotlin/org/auburnlever/fleet/VoterChangeTest.kt
+++ b/node/src/test/kotlin/org/auburnlever/fleet/VoterChangeTest.kt
@@ -16,32 +16,43 @@
     private val self = hosts[0]
     private val learner = hosts[3]
     private val voters = hosts.take(3).associateWith { ReplicaRole.VOTER }
+    private val withLearner = Membership(voters + (learner to ReplicaRole.LEARNER))
+    private val withFourVoters = Membership(hosts.associateWith { ReplicaRole.VOTER })
+    private val promotion = MembershipChange.Promote(learner, ReplicaRole.VOTER)
+    private val removal = MembershipChange.Remove(hosts[2])
+
+    /** Returns the health of replicas that answered just now, or as long ago as [silentMillis] tells. */
+    private fun health(vararg silentMillis: Pair<ReplicaId, Long>) = ReplicaHealth(
+        answeredMillis = (hosts - self).associateWith { NOW_MILLIS - (silentMillis.toMap()[it] ?: 50L) },
+        replicating = hosts.toSet(),
+        departures = emptyMap(),
+        leadsSinceMillis = 0,
+    )
+
+    /** Returns the health of replicas of which [unheard] has not answered since the election. */
+    private fun healthAfterElection(unheard: ReplicaId, electedAgoMillis: Long) = health().copy(
+        answeredMillis = health().answeredMillis - unheard,
+        leadsSinceMillis = NOW_MILLIS - electedAgoMillis,
+    )
+
+    private fun ReplicaHealth.withDeparture(replica: ReplicaId, agoMillis: Long) =
+        copy(departures = mapOf(replica to NOW_MILLIS - agoMillis))
 
     private fun change(
         membership: Membership,
-        unresponsive: Set<ReplicaId> = emptySet(),
+        health: ReplicaHealth = health(),
         wantedVoters: Int = 3,
-        unresponsiveForMillis: Long = 9_000L,
-    ): MembershipChange? {
-        val lastAnswers = (membership.roles.keys - self)
-            .associateWith { NOW_MILLIS - if (it in unresponsive) unresponsiveForMillis else 50L }
-        return voterChange(membership, self, lastAnswers, wantedVoters, NOW_MILLIS)
-    }
+        catchUpMillis: Long = 4_000L,
+    ): MembershipChange? =
+        voterChange(membership, self, health, VoterPolicy.of(wantedVoters / 2, catchUpMillis), NOW_MILLIS)
 
     /** Guards against a new leader that takes voters for lost before they had time to answer it. */
     @Test
     fun `a voter that has not answered a new leader is unresponsive since the election`() {
-        val answered = mapOf(learner to NOW_MILLIS, hosts[1] to NOW_MILLIS, hosts[2] to null)
-        fun change(leadsSinceMillis: Long): MembershipChange? {
-            val lastAnswers = lastAnswerMillis(answered, withLearner, leadsSinceMillis)
-            return voterChange(withLearner, self, lastAnswers, wantedVoters = 3, NOW_MILLIS)
-        }
-        assertNull(change(leadsSinceMillis = NOW_MILLIS - 500))
-        assertEquals(MembershipChange.Remove(hosts[2]), change(leadsSinceMillis = NOW_MILLIS - 5_000))
+        assertNull(change(withLearner, healthAfterElection(hosts[2], electedAgoMillis = 500)))
+        assertEquals(removal, change(withLearner, healthAfterElection(hosts[2], electedAgoMillis = 5_000)))
     }
 
-    private val withLearner = Membership(voters + (learner to ReplicaRole.LEARNER))
-
     @Test
     fun `a complete group changes nothing`() {
         assertNull(change(Membership(voters)))
@@ -50,23 +61,30 @@
 
     @Test
     fun `a learner that answers becomes a voter while voters are missing`() {
-        assertEquals(MembershipChange.Promote(learner, ReplicaRole.VOTER), change(withLearner, wantedVoters = 5))
-        assertNull(change(withLearner, unresponsive = setOf(learner), wantedVoters = 5))
+        assertEquals(promotion, change(withLearner, wantedVoters = 5))
+        assertNull(change(withLearner, health(learner to 9_000), wantedVoters = 5))
     }
 
     @Test
     fun `an unresponsive voter is removed only if a learner that answers can replace it`() {
-        assertEquals(MembershipChange.Remove(hosts[2]), change(withLearner, unresponsive = setOf(hosts[2])))
-        assertNull(change(Membership(voters), unresponsive = setOf(hosts[2])))
-        assertNull(change(withLearner, unresponsive = setOf(hosts[2], learner)))
+        assertEquals(removal, change(withLearner, health(hosts[2] to 9_000)))
+        assertNull(change(Membership(voters), health(hosts[2] to 9_000)))
+        assertNull(change(withLearner, health(hosts[2] to 9_000, learner to 9_000)))
+    }
+
+    /** Guards against a group that runs with fewer voters for as long as a new host takes to get the log. */
+    @Test
+    fun `a lost voter stays until a learner has the log`() {
+        assertNull(change(withLearner, health(hosts[2] to 9_000).copy(replicating = voters.keys)))
     }
 
     /** Guards against a group that still has a permanently lost voter when the next host is lost. */
     @Test
     fun `a lost voter is replaced before the operators count its replacement host as healthy`() {
-        val lost = setOf(hosts[2])
-        assertEquals(MembershipChange.Remove(hosts[2]), change(withLearner, lost, unresponsiveForMillis = 4_100))
-        assertNull(change(withLearner, lost, unresponsiveForMillis = 3_000))
+        assertEquals(removal, change(withLearner, health(hosts[2] to 3_200)))
+        assertNull(change(withLearner, health(hosts[2] to 3_000)))
+        assertEquals(removal, change(withLearner, health(hosts[2] to 5_100), catchUpMillis = 6_000))
+        assertNull(change(withLearner, health(hosts[2] to 4_900), catchUpMillis = 6_000))
     }
 
     @Test
@@ -75,4 +93,38 @@
 
         assertNull(change(replaced, wantedVoters = 5))
     }
+
+    /** Guards against a planned replacement during which no other voter may be lost. */
+    @Test
+    fun `the vote of a host that shuts down is taken over before it is given up`() {
+        val health = health().withDeparture(hosts[2], agoMillis = 100)
+        assertNull(change(Membership(voters), health))
+        assertEquals(promotion, change(withLearner, health))
+        assertEquals(removal, change(withFourVoters, health))
+    }
+
+    /** Guards against four voters of which one is gone, when the leader changes between promotion and removal. */
+    @Test
+    fun `a new leader removes a surplus voter that shut down`() {
+        fun change(electedAgoMillis: Long): MembershipChange? {
+            val health = healthAfterElection(hosts[2], electedAgoMillis)
+            return change(withFourVoters, health.withDeparture(hosts[2], agoMillis = 900))
+        }
+        assertNull(change(electedAgoMillis = 500))
+        assertEquals(removal, change(electedAgoMillis = 700))
+    }
+
+    /** Guards against a voter that shut down and is waited for like one that may only be slow. */
+    @Test
+    fun `a voter that shut down is replaced as soon as a learner can take its vote`() {
+        assertEquals(removal, change(withLearner, health(hosts[2] to 850).withDeparture(hosts[2], agoMillis = 900)))
+        assertNull(change(withLearner, health(hosts[2] to 300).withDeparture(hosts[2], agoMillis = 900)))
+    }
+
+    /** Guards against a voter that only restarted and loses its vote, and against a vote for a host that shuts down. */
+    @Test
+    fun `a restarted voter keeps its vote, and a learner that shuts down gets none`() {
+        assertNull(change(withLearner, health().withDeparture(hosts[2], agoMillis = 2_000)))
+        assertNull(change(withLearner, health(hosts[2] to 9_000).withDeparture(learner, agoMillis = 100)))
+    }
 }
