Let a control host that was removed while it was down join again

Callers saw nothing at once, but the group had one host less to lose: a host whose vote was taken over while it was down or cut off took itself for a voter for good when it came back, and was no member.

Cause: a host asked for admission only if its own log named no role for it. The removal isn't in that log, nobody tells it, and the others ignore its attempts at an election, as they hear from a leader.

Change: a host that has known no leader for 1.5 s asks for admission; for a member the leader has nothing to do.

Found while restarts after a planned replacement were tried.

--- a/node/src/main/kotlin/org/auburnlever/fleet/ControlHost.kt
+++ b/node/src/main/kotlin/org/auburnlever/fleet/ControlHost.kt
@@ -215,6 +215,8 @@
 
         private suspend fun admit(components: Components, request: PeerRequest.Admit): PeerReply {
             peers.dial(request.replica.host)
+            val view = components.runner.view
+            if (view.isLeader && request.replica in view.membership.roles) return PeerReply.Ok
             return components.runner.change(MembershipChange.AddLearner(request.replica)).toReply { PeerReply.Ok }
         }
     }
--- a/node/src/main/kotlin/org/auburnlever/fleet/FleetMembership.kt
+++ b/node/src/main/kotlin/org/auburnlever/fleet/FleetMembership.kt
@@ -37,6 +37,7 @@
     private val departures = Departures()
     private var leadsInTerm = -1L
     private var leadsSinceMillis = 0L
+    private var leaderKnownMillis = clock.nowMillis()
 
     /** Checks the membership periodically and does what is due, until the coroutine is cancelled. */
     suspend fun maintain() = coroutineScope {
@@ -74,13 +75,14 @@
     private suspend fun maintainMembership() {
         while (currentCoroutineContext().isActive) {
             delay(if (runner.view.role == null) ADMISSION_INTERVAL_MILLIS else MAINTENANCE_INTERVAL_MILLIS)
-            report.reportIfDue(clock.nowMillis())
+            val nowMillis = clock.nowMillis()
+            report.reportIfDue(nowMillis)
             val view = runner.view
-            if (view.role == null) {
-                requestAdmission(view.replica)
-            } else {
-                peers.replace(view.membership.roles.keys.map { it.host })
-            }
+            if (view.leader != null) leaderKnownMillis = nowMillis
+            // Nobody tells a replica that was removed while its host was down or cut off: it only hears from no leader.
+            val mayBeRemoved = nowMillis - leaderKnownMillis >= LEADERLESS_MILLIS
+            if (view.role != null) peers.replace(view.membership.roles.keys.map { it.host })
+            if (view.role == null || mayBeRemoved) requestAdmission(view.replica)
         }
     }
 
@@ -92,7 +94,10 @@
         }
     }
 
-    /** Asks the known hosts to admit [replica], which is new or lost its disk. The leader admits it as a learner. */
+    /**
+     * Asks the known hosts to admit [replica], which is new, lost its disk or may have been removed. The leader admits
+     * it as a learner.
+     */
     private suspend fun requestAdmission(replica: ReplicaId) {
         peers.refresh()
         val replies = callAll(PeerRequest.Admit(WORKLOAD_GROUP, replica))
@@ -128,6 +133,9 @@
 
         /** A new host is of use only once it is admitted. */
         const val ADMISSION_INTERVAL_MILLIS = 200L
+
+        /** Longer than an election. */
+        const val LEADERLESS_MILLIS = 1_500L
         const val VOTER_CHECK_INTERVAL_MILLIS = 200L
         const val ANNOUNCEMENT_INTERVAL_MILLIS = 100L
         const val CALL_TIMEOUT_MILLIS = 1_000L
--- a/node/src/test/kotlin/org/auburnlever/fleet/ReplacedControlHostsTest.kt
+++ b/node/src/test/kotlin/org/auburnlever/fleet/ReplacedControlHostsTest.kt
@@ -93,6 +93,19 @@
         }
     }
 
+    /** Guards against a host that takes itself for a voter for good, as it learns of its removal from nobody. */
+    @Test
+    fun `a host whose vote was taken over while it was down becomes a member again`() {
+        startFounders()
+        start(FOUNDERS)
+        shutDown(1)
+        awaitComplete()
+        start(1)
+        awaitComplete()
+        shutDown(0)
+        awaitComplete()
+    }
+
     private companion object {
         const val FOUNDERS = 3
         const val READ_TIMEOUT_MILLIS = 1_000L
