Hand the leadership to a host that stays, when several shut down in turn

Callers would have waited for an election: a host that shuts down now votes on for up to 2 s, and the next host of a restart in turn, if it led, could hand its leadership to this one, which ends a moment later.

Cause: the successor was the voter with most of the log, whether it leaves or not. Change: voters that have announced their shutdown come last, and a host that was elected again while it waited for its successor hands the leadership over once more.

The new test of VoterChangeTest covers the choice.

--- a/node/src/main/kotlin/org/auburnlever/fleet/ControlHost.kt
+++ b/node/src/main/kotlin/org/auburnlever/fleet/ControlHost.kt
@@ -135,8 +135,10 @@
     /** Transfers the leadership if this host has it, hands its vote over if another host can take it, and stops. */
     fun shutdown() {
         components?.let {
-            transferLeadership(it.runner)
+            transferLeadership(it)
             handOverVote(it.membership)
+            // A voter that waits for its successor may be elected again.
+            transferLeadership(it)
         }
         scope.cancel()
         components?.runner?.stop()
@@ -151,12 +153,14 @@
             settings.firstStart,
         ).mapError { it.message }
 
-    private fun transferLeadership(runner: GroupRunner<WorkloadState, WorkloadReply>) {
+    private fun transferLeadership(components: Components) {
+        val runner = components.runner
         val view = runner.view
-        val successor = view.peers.filterKeys { it in view.membership.voters }.maxByOrNull { it.value.matchIndex }
+        val matchIndices = view.peers.filterKeys { it in view.membership.voters }.mapValues { it.value.matchIndex }
+        val successor = leadershipSuccessor(matchIndices, components.membership.departingReplicas())
         if (!view.isLeader || successor == null) return
-        logger.info { "transferring the leadership to ${successor.key}" }
-        runner.enqueue(ReplicaInput.TransferLeadership(successor.key))
+        logger.info { "transferring the leadership to $successor" }
+        runner.enqueue(ReplicaInput.TransferLeadership(successor))
         val untilMillis = clock.nowMillis() + TRANSFER_TIMEOUT_MILLIS
         while (runner.view.isLeader && clock.nowMillis() < untilMillis) Thread.sleep(TRANSFER_POLL_MILLIS)
     }
--- a/node/src/main/kotlin/org/auburnlever/fleet/FleetMembership.kt
+++ b/node/src/main/kotlin/org/auburnlever/fleet/FleetMembership.kt
@@ -72,6 +72,9 @@
         }
     }
 
+    /** Returns the replicas that have announced lately that they shut down. */
+    fun departingReplicas(): Set<ReplicaId> = departures.recent(clock.nowMillis()).keys
+
     private suspend fun maintainMembership() {
         while (currentCoroutineContext().isActive) {
             delay(if (runner.view.role == null) ADMISSION_INTERVAL_MILLIS else MAINTENANCE_INTERVAL_MILLIS)
--- a/node/src/main/kotlin/org/auburnlever/fleet/VoterChange.kt
+++ b/node/src/main/kotlin/org/auburnlever/fleet/VoterChange.kt
@@ -108,3 +108,10 @@
         else -> null
     }
 }
+
+/**
+ * Returns the voter that is to lead after a leader that shuts down: the one that has most of the log, by
+ * [matchIndices], if possible not one of the [departing] replicas, which end soon, too. Null without another voter.
+ */
+internal fun leadershipSuccessor(matchIndices: Map<ReplicaId, Long>, departing: Set<ReplicaId>): ReplicaId? =
+    (matchIndices - departing).ifEmpty { matchIndices }.maxByOrNull { it.value }?.key
--- a/node/src/test/kotlin/org/auburnlever/fleet/VoterChangeTest.kt
+++ b/node/src/test/kotlin/org/auburnlever/fleet/VoterChangeTest.kt
@@ -127,4 +127,14 @@
         assertNull(change(withLearner, health().withDeparture(hosts[2], agoMillis = 2_000)))
         assertNull(change(withLearner, health(hosts[2] to 9_000).withDeparture(learner, agoMillis = 100)))
     }
+
+    /** Guards against restarts in turn in which each leader hands over to a host that ends a moment later. */
+    @Test
+    fun `the leadership goes to a host that shuts down, too, only if there is no other`() {
+        val matchIndices = mapOf(hosts[1] to 7L, hosts[2] to 9L)
+        assertEquals(hosts[2], leadershipSuccessor(matchIndices, departing = emptySet()))
+        assertEquals(hosts[1], leadershipSuccessor(matchIndices, departing = setOf(hosts[2])))
+        assertEquals(hosts[2], leadershipSuccessor(matchIndices, departing = setOf(hosts[1], hosts[2])))
+        assertNull(leadershipSuccessor(emptyMap(), departing = emptySet()))
+    }
 }
