--- a/core/src/main/kotlin/org/auburnlever/workload/WorkloadLimits.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/WorkloadLimits.kt
@@ -35,15 +35,15 @@
     /** Time from sending an order until its lease has certainly expired: clocks may be 2% slow, calls take time. */
     val leaseSafeMillis: Long get() = safeMillis(leaseMillis)
 
+    /** The same for an order whose deadline was computed for another clock, so that only the worker's limit applies. */
+    val longestLeaseSafeMillis: Long get() = safeMillis(maxOf(leaseMillis, longestLeaseMillis))
+
     /**
      * Lease of a worker that drains. Nothing but the end of the lease may show that the worker has ended, and the tasks
      * that it ran start again only then.
      */
     val drainingLeaseMillis: Long get() = minOf(leaseMillis, DRAINING_LEASE_MILLIS)
 
-    /** The same for an order whose deadline was computed for another clock, so that only the worker's limit applies. */
-    val longestLeaseSafeMillis: Long get() = safeMillis(maxOf(leaseMillis, longestLeaseMillis))
-
     /** Time from the answer to a stop until the run has certainly ended and its end is listed. */
     val stopSafeMillis: Long get() = stopMillis + CALL_SLACK_MILLIS
 
--- a/core/src/main/kotlin/org/auburnlever/workload/runs/WorkerLoss.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/runs/WorkerLoss.kt
@@ -31,7 +31,7 @@
 internal fun WorkerView.lossOf(ref: WorkerRef, nowMillis: Long): WorkerLoss? = when {
     this.ref.startMillis > ref.startMillis -> WorkerLoss.RESTARTED
     replaced -> WorkerLoss.REPLACED
-    shutsDown && refusesConnections -> WorkerLoss.LEFT
+    shuttingDown && refusesConnections -> WorkerLoss.LEFT
     nowMillis >= leaseEndMillis -> WorkerLoss.LEASE_EXPIRED
     else -> null
 }
--- a/core/src/main/kotlin/org/auburnlever/workload/runs/WorkerView.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/runs/WorkerView.kt
@@ -85,7 +85,7 @@
     val departed: Boolean get() = departureMillis != null || replaced
 
     /** Whether the worker has reported that it drains, or has announced its shutdown. */
-    val shutsDown: Boolean get() = departureMillis != null || report?.draining == true
+    val shuttingDown: Boolean get() = departureMillis != null || report?.draining == true
 
     /** Returns whether the worker may get new work: it is reachable and not left out because of its runs. */
     fun usable(nowMillis: Long, reportLimitMillis: Long): Boolean =
