Remove a surplus voter, and announce departures past silent hosts

A host that restarts after another one got a vote in its place, and before its own was taken, would have left four voters for good, of which no half is a majority. An announcement of a shutdown waited for up to a second for a host that doesn't answer, longer than announcements count.

Change: a voter too many is removed once no departure is recent, and an announcement waits for 300 ms. The new test of VoterChangeTest covers the first.

--- a/node/src/main/kotlin/org/auburnlever/fleet/FleetMembership.kt
+++ b/node/src/main/kotlin/org/auburnlever/fleet/FleetMembership.kt
@@ -53,7 +53,7 @@
     suspend fun handOverVote() {
         val replica = runner.view.replica
         while (runner.view.role.let { it != null && it != ReplicaRole.LEARNER }) {
-            val replies = callAll(PeerRequest.Depart(WORKLOAD_GROUP, replica))
+            val replies = callAll(PeerRequest.Depart(WORKLOAD_GROUP, replica), DEPARTURE_TIMEOUT_MILLIS)
             if (PeerReply.Ok in replies) return
             delay(ANNOUNCEMENT_INTERVAL_MILLIS)
         }
@@ -103,14 +103,14 @@
      */
     private suspend fun requestAdmission(replica: ReplicaId) {
         peers.refresh()
-        val replies = callAll(PeerRequest.Admit(WORKLOAD_GROUP, replica))
+        val replies = callAll(PeerRequest.Admit(WORKLOAD_GROUP, replica), ADMISSION_TIMEOUT_MILLIS)
         logger.info { "replica $replica requested admission; it is a member: ${PeerReply.Ok in replies}" }
     }
 
     /** Sends [request] to all known hosts at the same time, as some may be gone, and returns the replies. */
-    private suspend fun callAll(request: PeerRequest): List<PeerReply> = coroutineScope {
+    private suspend fun callAll(request: PeerRequest, timeoutMillis: Long): List<PeerReply> = coroutineScope {
         val hosts = (peers.members() + settings.seedHosts).distinct().filter { it != settings.self }
-        hosts.map { host -> async { transport.call(host, request, CALL_TIMEOUT_MILLIS).getOr(null) } }
+        hosts.map { host -> async { transport.call(host, request, timeoutMillis).getOr(null) } }
             .awaitAll().filterNotNull()
     }
 
@@ -140,7 +140,10 @@
         /** Longer than an election. */
         const val LEADERLESS_MILLIS = 1_500L
         const val VOTER_CHECK_INTERVAL_MILLIS = 200L
+        const val ADMISSION_TIMEOUT_MILLIS = 1_000L
         const val ANNOUNCEMENT_INTERVAL_MILLIS = 100L
-        const val CALL_TIMEOUT_MILLIS = 1_000L
+
+        /** A host that does not answer must not hold up the announcements to the others. */
+        const val DEPARTURE_TIMEOUT_MILLIS = 300L
     }
 }
--- a/node/src/main/kotlin/org/auburnlever/fleet/VoterChange.kt
+++ b/node/src/main/kotlin/org/auburnlever/fleet/VoterChange.kt
@@ -12,6 +12,8 @@
  * A voter that shuts down and still answers is replaced by promotion first and removal second, so that the group can
  * lose any voter at each step. One that is gone is removed first: the majority of the others is as large, and a leader
  * that is elected between the steps finds a voter missing and needs no sign of the lost one.
+ *
+ * If a voter that shut down starts again before it was removed, there is one too many, and any of the others goes.
  */
 internal fun voterChange(
     membership: Membership,
@@ -26,9 +28,10 @@
     val departing = others.firstOrNull { health.isDeparting(it, nowMillis) }
     val gone = others.firstOrNull { health.hasDeparted(it, nowMillis) }
         ?: others.firstOrNull { health.isSilent(it, policy.timeoutMillis, nowMillis) }
+    val surplus = others.firstOrNull().takeIf { health.departures.isEmpty() }
     val excess = membership.voters.size - policy.wantedVoters
     return when {
-        excess > 0 -> (departing ?: gone)?.let { MembershipChange.Remove(it) }
+        excess > 0 -> (departing ?: gone ?: surplus)?.let { MembershipChange.Remove(it) }
         candidate == null -> null
         excess < 0 -> MembershipChange.Promote(candidate, ReplicaRole.VOTER)
         gone != null -> MembershipChange.Remove(gone)
--- a/node/src/test/kotlin/org/auburnlever/fleet/VoterChangeTest.kt
+++ b/node/src/test/kotlin/org/auburnlever/fleet/VoterChangeTest.kt
@@ -114,6 +114,13 @@
         assertEquals(removal, change(electedAgoMillis = 700))
     }
 
+    /** Guards against a group that keeps an even number of voters when a host restarts before its vote is given up. */
+    @Test
+    fun `a surplus voter is removed, but no other one than that which shuts down`() {
+        assertEquals(MembershipChange.Remove(hosts[1]), change(withFourVoters))
+        assertNull(change(withFourVoters, health().withDeparture(hosts[2], agoMillis = 700)))
+    }
+
     /** Guards against a voter that shut down and is waited for like one that may only be slow. */
     @Test
     fun `a voter that shut down is replaced as soon as a learner can take its vote`() {
