--- a/core/src/test/kotlin/org/auburnlever/workload/CoordinatorScheduleTest.kt
+++ b/core/src/test/kotlin/org/auburnlever/workload/CoordinatorScheduleTest.kt
@@ -70,7 +70,6 @@
 
     /** Guards against room that is kept for a gang that it can never hold. */
     @Test
-    @Tag("known-red")
     fun `no job stands still beside gangs wider than the fleet`() = assertNoneStandsStill(JobKind.WIDE_GANG)
 
     /** Guards against long-running tasks that are not started again, and against sound workers that are left out. */
