Log and count the evidence of rejected submissions

Callers were told that a job never runs, and the job ran. The logs could not tell why: an entry host logged neither the attempts behind the answer to a submission nor the evidence for a rejection.

RefusalEvidence lists the signs on which a call may be reported as having no effect. Each rejection carries the sign of its last attempt.

No decision changes.

--- a/node/src/main/kotlin/org/auburnlever/fleet/FleetClient.kt
+++ b/node/src/main/kotlin/org/auburnlever/fleet/FleetClient.kt
@@ -51,9 +51,10 @@
         val startMillis = clock.nowMillis()
         var attempts = emptyList<LeaderAttempt>()
         val result = local?.state()?.settledAnswer(call)?.let { Ok(it) }
-            ?: admission?.ask(call, timeoutMillis)
+            ?: admission?.ask(call, timeoutMillis) { attempts = attempts.with(it) }
             ?: askLeader(call, timeoutMillis) { attempts = attempts.with(it) }
-        log.record(call, result, attempts, clock.nowMillis() - startMillis)
+        val nowMillis = clock.nowMillis()
+        log.record(call, result, attempts, tookMillis = nowMillis - startMillis, nowMillis)
         return result
     }
 
--- a/node/src/main/kotlin/org/auburnlever/fleet/LeaderlessAdmission.kt
+++ b/node/src/main/kotlin/org/auburnlever/fleet/LeaderlessAdmission.kt
@@ -3,17 +3,18 @@
 import com.github.michaelbull.result.Err
 import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
-import com.github.michaelbull.result.fold
 import io.micrometer.core.instrument.MeterRegistry
 import kotlinx.coroutines.delay
 import org.auburnlever.host.HostClock
+import org.auburnlever.host.LeaderAttempt
+import org.auburnlever.host.RefusalEvidence
 import org.auburnlever.host.Submission
 import org.auburnlever.host.SubmitError
 import org.auburnlever.host.decode
+import org.auburnlever.host.toOutcome
 import org.auburnlever.model.HostName
 import org.auburnlever.peer.PeerReply
 import org.auburnlever.peer.PeerRequest
-import org.auburnlever.transport.CallError
 import org.auburnlever.workload.FleetAnswer
 import org.auburnlever.workload.FleetCall
 import org.auburnlever.workload.leaderless.LeaderSign
@@ -33,15 +34,30 @@
     private val clock: HostClock,
     private val registry: MeterRegistry,
 ) {
-    private class Progress(val call: FleetCall, val waiting: WaitingCall, val startMillis: Long, val endMillis: Long) {
+    private class Progress(
+        val call: FleetCall,
+        val waiting: WaitingCall,
+        val startMillis: Long,
+        val endMillis: Long,
+        val onAttempt: (LeaderAttempt) -> Unit,
+    ) {
         var undecided: String? = null
+        var evidence = RefusalEvidence.NOT_HANDED_ON
         var attempted = false
     }
 
-    /** Sends [call] to the leader until it is answered, is refused, or [timeoutMillis] have passed. */
-    suspend fun ask(call: FleetCall, timeoutMillis: Long): Result<FleetAnswer, SubmitError> {
+    /**
+     * Sends [call] to the leader until it is answered, is refused, or [timeoutMillis] have passed.
+     *
+     * [onAttempt] receives each attempt when it has ended.
+     */
+    suspend fun ask(
+        call: FleetCall,
+        timeoutMillis: Long,
+        onAttempt: (LeaderAttempt) -> Unit = {},
+    ): Result<FleetAnswer, SubmitError> {
         val nowMillis = clock.nowMillis()
-        val progress = Progress(call, WaitingCall.of(call, queues()), nowMillis, nowMillis + timeoutMillis)
+        val progress = Progress(call, WaitingCall.of(call, queues()), nowMillis, nowMillis + timeoutMillis, onAttempt)
         var result: Result<FleetAnswer, SubmitError>? = null
         while (result == null) {
             result = if (clock.nowMillis() >= progress.endMillis) expire(progress) else step(progress)
@@ -73,34 +89,45 @@
         progress: Progress,
         leader: HostName,
     ): Result<FleetAnswer, SubmitError>? {
-        val timeoutMillis = (progress.endMillis - clock.nowMillis()).coerceIn(1, ATTEMPT_TIMEOUT_MILLIS)
-        val answer = watch.call(leader, PeerRequest.Fleet(progress.call), timeoutMillis).fold(
-            { reply -> decode(reply) { (it as? PeerReply.Fleet)?.answer } },
-            { if (it is CallError.NotSent) null else Submission.Undecided(it.message) },
-        )
-        return when (answer) {
-            null -> {
-                count("not_sent")
-                if (watch.leader() == leader) delay(RETRY_INTERVAL_MILLIS)
-                null
-            }
-            is Submission.Applied -> {
-                watch.observe(leader, LeaderSign.Answered)
-                applied(progress, answer.reply)
-            }
-            is Submission.Refused -> Err(unknown(progress) ?: SubmitError.NotSubmitted(answer.message))
-            is Submission.NotLeader -> {
-                watch.observe(leader, LeaderSign.NotLeading(answer.leader, answer.term))
-                // A host that was just elected is named as leader before it can answer.
-                if (watch.leader().let { it == null || it == leader }) delay(RETRY_INTERVAL_MILLIS)
-                null
-            }
-            is Submission.Undecided -> {
-                progress.attempted = true
-                if (progress.call.hasEffect) progress.undecided = answer.message
-                count("no_reply")
-                null
-            }
+        val attemptMillis = clock.nowMillis()
+        val timeoutMillis = (progress.endMillis - attemptMillis).coerceIn(1, ATTEMPT_TIMEOUT_MILLIS)
+        val outcome = watch.call(leader, PeerRequest.Fleet(progress.call), timeoutMillis).toOutcome { reply ->
+            decode(reply) { (it as? PeerReply.Fleet)?.answer }
+        }
+        val startMillis = attemptMillis - progress.startMillis
+        progress.onAttempt(LeaderAttempt(leader, startMillis, clock.nowMillis() - attemptMillis, outcome.summary))
+        outcome.evidence?.let { progress.evidence = it }
+        return if (outcome.evidence == RefusalEvidence.NOT_SENT) {
+            count("not_sent")
+            if (watch.leader() == leader) delay(RETRY_INTERVAL_MILLIS)
+            null
+        } else {
+            handle(progress, leader, outcome.answer)
+        }
+    }
+
+    private suspend fun handle(
+        progress: Progress,
+        leader: HostName,
+        answer: Submission<FleetAnswer>,
+    ): Result<FleetAnswer, SubmitError>? = when (answer) {
+        is Submission.Applied -> {
+            watch.observe(leader, LeaderSign.Answered)
+            applied(progress, answer.reply)
+        }
+        is Submission.Refused ->
+            Err(unknown(progress) ?: SubmitError.NotSubmitted(answer.message, progress.evidence))
+        is Submission.NotLeader -> {
+            watch.observe(leader, LeaderSign.NotLeading(answer.leader, answer.term))
+            // A host that was just elected is named as leader before it can answer.
+            if (watch.leader().let { it == null || it == leader }) delay(RETRY_INTERVAL_MILLIS)
+            null
+        }
+        is Submission.Undecided -> {
+            progress.attempted = true
+            if (progress.call.hasEffect) progress.undecided = answer.message
+            count("no_reply")
+            null
         }
     }
 
@@ -123,6 +150,7 @@
 
     private fun refusal(progress: Progress) = SubmitError.NotSubmitted(
         "no leader of $WORKLOAD_GROUP could be reached",
+        progress.evidence,
         progress.waiting.retryAfterMillis(watch.prospect),
     )
 
--- a/node/src/main/kotlin/org/auburnlever/host/LeaderClient.kt
+++ b/node/src/main/kotlin/org/auburnlever/host/LeaderClient.kt
@@ -3,14 +3,12 @@
 import com.github.michaelbull.result.Err
 import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
-import com.github.michaelbull.result.fold
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.withTimeoutOrNull
 import org.auburnlever.model.HostName
 import org.auburnlever.peer.GroupName
 import org.auburnlever.peer.PeerReply
 import org.auburnlever.peer.PeerRequest
-import org.auburnlever.transport.CallError
 import org.auburnlever.transport.PeerClient
 import org.auburnlever.transport.PeerDirectory
 
@@ -74,7 +72,7 @@
         val outcome = if (target == null) UNREACHABLE else ask(request, target, search)
         val answer = outcome.answer
         val nowMillis = clock.nowMillis()
-        search.recordAttempt(target, answer, nowMillis)
+        search.recordAttempt(target, answer, outcome.evidence, nowMillis)
         val startMillis = attemptMillis - callStartMillis
         request.onAttempt(LeaderAttempt(target, startMillis, nowMillis - attemptMillis, outcome.summary))
         return when (answer) {
@@ -100,19 +98,9 @@
                 ?: Submission.Undecided("no decision within $attemptTimeoutMillis ms")
             return AttemptOutcome(answer)
         }
-        return peers.call(target, request.remote, attemptTimeoutMillis).fold(
-            { AttemptOutcome(request.decode(it)) },
-            { error ->
-                when (error) {
-                    is CallError.NotSent -> AttemptOutcome(Submission.NotLeader(null), "not sent: ${error.message}")
-                    is CallError.NoReply -> AttemptOutcome(Submission.Undecided(error.message))
-                }
-            },
-        )
+        return peers.call(target, request.remote, attemptTimeoutMillis).toOutcome(request.decode)
     }
 
-    private class AttemptOutcome<out T>(val answer: Submission<T>, val summary: String = answer.summary())
-
     /** Returns the host named as leader if it is reachable and has not failed; else the next replica in turn. */
     private fun target(request: LeaderRequest<*>, search: LeaderSearch): HostName? {
         val reachable = directory.reachable() + listOfNotNull(directory.self.host.takeIf { request.local != null })
@@ -122,7 +110,11 @@
     }
 
     private companion object {
-        val UNREACHABLE = AttemptOutcome(Submission.NotLeader(null), "no replica is reachable")
+        val UNREACHABLE = AttemptOutcome(
+            Submission.NotLeader(null),
+            "no replica is reachable",
+            RefusalEvidence.NOT_HANDED_ON,
+        )
 
         /** Shorter than an election, so that a new leader is found soon after its election. */
         const val RETRY_INTERVAL_MILLIS = 50L
--- a/node/src/main/kotlin/org/auburnlever/host/LeaderSearch.kt
+++ b/node/src/main/kotlin/org/auburnlever/host/LeaderSearch.kt
@@ -14,6 +14,7 @@
     private val noLeaderDeadlineMillis: Long = deadlineMillis,
 ) {
     private var undecidedMessage: String? = null
+    private var evidence = RefusalEvidence.NOT_HANDED_ON
     private var nextIndex = 0
     private var unreachableSinceMillis: Long? = null
 
@@ -47,8 +48,18 @@
         return candidates[nextIndex++ % candidates.size]
     }
 
-    /** Records the [answer] of [target] to an attempt; a null [target] means that no replica could be reached. */
-    fun recordAttempt(target: HostName?, answer: Submission<*>, nowMillis: Long) {
+    /**
+     * Records the [answer] of [target] to an attempt; a null [target] means that no replica could be reached.
+     *
+     * [refusalEvidence] tells why the attempt has no effect; null if it has one or can have one.
+     */
+    fun recordAttempt(
+        target: HostName?,
+        answer: Submission<*>,
+        refusalEvidence: RefusalEvidence?,
+        nowMillis: Long,
+    ) {
+        if (refusalEvidence != null) evidence = refusalEvidence
         if (answer is Submission.Undecided) undecidedMessage = answer.message
         hint = (answer as? Submission.NotLeader)?.leader
         failedHosts = (failedHosts + setOfNotNull(target)) - setOfNotNull(hint)
@@ -57,12 +68,12 @@
 
     /** Returns the error of a request whose last attempt was refused with [message]. */
     fun refusal(group: GroupName, message: String): SubmitError =
-        if (mayHaveTakenEffect) error(group) else SubmitError.NotSubmitted(message)
+        if (mayHaveTakenEffect) error(group) else SubmitError.NotSubmitted(message, evidence)
 
     fun error(group: GroupName): SubmitError {
         val message = undecidedMessage
         return if (message == null) {
-            SubmitError.NotSubmitted("no leader of $group could be reached")
+            SubmitError.NotSubmitted("no leader of $group could be reached", evidence)
         } else {
             SubmitError.Undecided("$group: $message")
         }
--- a/node/src/main/kotlin/org/auburnlever/host/LedgerClient.kt
+++ b/node/src/main/kotlin/org/auburnlever/host/LedgerClient.kt
@@ -23,8 +23,12 @@
 sealed interface SubmitError {
     val message: String
 
-    /** The command has had no effect and will have none. */
-    data class NotSubmitted(override val message: String, val retryAfterMillis: Long? = null) : SubmitError
+    /** The command has had no effect and will have none; [evidence] is that of the last attempt. */
+    data class NotSubmitted(
+        override val message: String,
+        val evidence: RefusalEvidence,
+        val retryAfterMillis: Long? = null,
+    ) : SubmitError
 
     /** The command may have taken effect, or may still take effect. */
     data class Undecided(override val message: String) : SubmitError
--- a/node/src/test/kotlin/org/auburnlever/entry/FakeLedger.kt
+++ b/node/src/test/kotlin/org/auburnlever/entry/FakeLedger.kt
@@ -5,6 +5,7 @@
 import com.github.michaelbull.result.Result
 import org.auburnlever.host.LedgerClient
 import org.auburnlever.host.SubmitError
+import org.auburnlever.host.notSubmitted
 import org.auburnlever.ledger.LedgerCommand
 import org.auburnlever.ledger.LedgerReply
 import org.auburnlever.ledger.RequestKey
@@ -43,7 +44,7 @@
     ): Result<LedgerReply, SubmitError> =
         when (fault(command)) {
             LedgerFault.NONE -> Ok(apply(command))
-            LedgerFault.NOT_SUBMITTED -> Err(SubmitError.NotSubmitted("no leader"))
+            LedgerFault.NOT_SUBMITTED -> Err(notSubmitted("no leader"))
             LedgerFault.COMMAND_LOST -> Err(SubmitError.Undecided("no answer"))
             LedgerFault.REPLY_LOST -> {
                 apply(command)
@@ -55,7 +56,7 @@
         domain: DomainName,
         query: LedgerQuery,
         timeoutMillis: Long,
-    ): Result<String, SubmitError> = Err(SubmitError.NotSubmitted("not supported"))
+    ): Result<String, SubmitError> = Err(notSubmitted("not supported"))
 
     @Synchronized
     private fun apply(command: LedgerCommand): LedgerReply =
--- a/node/src/test/kotlin/org/auburnlever/entry/OperatorServicesTest.kt
+++ b/node/src/test/kotlin/org/auburnlever/entry/OperatorServicesTest.kt
@@ -11,6 +11,7 @@
 import org.auburnlever.configuration.Operator
 import org.auburnlever.configuration.digestHex
 import org.auburnlever.host.SubmitError
+import org.auburnlever.host.notSubmitted
 import org.auburnlever.model.AccountName
 import org.auburnlever.model.DomainName
 import org.auburnlever.model.OperatorName
@@ -126,7 +127,7 @@
     fun `a change that may have taken effect is unknown and one without effect is refused`() {
         host.configuration.failure = SubmitError.Undecided("no answer from the leader")
         assertContains(propose(first).summary(), "504 unknown {\"code\":\"deadline_exceeded\"")
-        host.configuration.failure = SubmitError.NotSubmitted("no leader")
+        host.configuration.failure = notSubmitted("no leader")
         assertContains(propose(first).summary(), "503 refused {\"code\":\"domain_unreachable\"")
     }
 
--- a/node/src/test/kotlin/org/auburnlever/entry/TestOperatorHost.kt
+++ b/node/src/test/kotlin/org/auburnlever/entry/TestOperatorHost.kt
@@ -17,6 +17,7 @@
 import org.auburnlever.host.ConfigurationClient
 import org.auburnlever.host.LedgerClient
 import org.auburnlever.host.SubmitError
+import org.auburnlever.host.notSubmitted
 import org.auburnlever.ledger.LedgerCommand
 import org.auburnlever.ledger.LedgerReply
 import org.auburnlever.model.DomainName
@@ -104,14 +105,14 @@
         domain: DomainName,
         command: LedgerCommand,
         timeoutMillis: Long,
-    ): Result<LedgerReply, SubmitError> = Err(SubmitError.NotSubmitted("not part of this test"))
+    ): Result<LedgerReply, SubmitError> = Err(notSubmitted("not part of this test"))
 
     override suspend fun read(
         domain: DomainName,
         query: LedgerQuery,
         timeoutMillis: Long,
     ): Result<String, SubmitError> =
-        if (domain.value == "thies-a") Ok("""{"query":"$query"}""") else Err(SubmitError.NotSubmitted("no leader"))
+        if (domain.value == "thies-a") Ok("""{"query":"$query"}""") else Err(notSubmitted("no leader"))
 }
 
 private object TwoHosts : PeerDirectory {
