Report no refusal after an attempt that may have taken effect

A client was answered with 401 while its job ran: its first attempt had been accepted by a leader that then froze, and the next leader refused the second attempt, as the key had been taken away meanwhile.

After an attempt without a reply only the refusal OVERLOADED of a later attempt was withheld. BAD_KEY, NO_QUEUE, NO_CATALOG, NEEDS_ADVICE and NO_JOB were passed on as the answer to the call. LeaderClient and LeaderlessAdmission held the same condition twice, and the client of the ledgers had none: a Rejected of a ledger was always passed on.

CallEvidence collects what the attempts of a call show and alone decides whether a refusal may be reported; all three clients use it, and each request has to say which replies are refusals. Reads have no effect, so their answers stand. That the job to cancel does not exist stands too, since it is what the caller asked for; any other refusal of a cancellation or an order leaves it undecided. A read without an answer is now reported as undecided with leaderless-admission too, as without.

The tests replace one that covered a single reason.

--- a/node/src/main/kotlin/org/auburnlever/fleet/FleetClient.kt
+++ b/node/src/main/kotlin/org/auburnlever/fleet/FleetClient.kt
@@ -17,7 +17,6 @@
 import org.auburnlever.transport.PeerTransport
 import org.auburnlever.workload.FleetAnswer
 import org.auburnlever.workload.FleetCall
-import org.auburnlever.workload.state.Inadmissible
 import org.auburnlever.workload.state.WorkloadState
 import org.auburnlever.workload.state.settledAnswer
 
@@ -64,21 +63,25 @@
         onAttempt: (LeaderAttempt) -> Unit,
     ): Result<FleetAnswer, SubmitError> {
         val askLocal = local?.let { replica -> suspend { replica.handle(call).also(::remember) } }
-        val remote = PeerRequest.Fleet(call)
-        val request = LeaderRequest(WORKLOAD_GROUP, askLocal, remote, ::isTurnedAway, onAttempt) { reply ->
-            decode(reply) { (it as? PeerReply.Fleet)?.answer }.also(::remember)
-        }
+        val request = leaderRequest(call, askLocal, onAttempt, ::remember)
         return leaderClient.ask(request, timeoutMillis, NO_LEADER_TIMEOUT_MILLIS)
     }
 
-    private fun isTurnedAway(answer: FleetAnswer): Boolean =
-        answer is FleetAnswer.NotAdmitted && answer.reason == Inadmissible.OVERLOADED
-
     private fun remember(answer: Submission<FleetAnswer>) {
         if (answer is Submission.NotLeader) hint.update(answer.leader)
     }
 }
 
+/** Returns the request that sends [call] to the leader; [onAnswer] receives the answers of other hosts. */
+internal fun leaderRequest(
+    call: FleetCall,
+    local: (suspend () -> Submission<FleetAnswer>)? = null,
+    onAttempt: (LeaderAttempt) -> Unit = {},
+    onAnswer: (Submission<FleetAnswer>) -> Unit = {},
+) = LeaderRequest(WORKLOAD_GROUP, local, PeerRequest.Fleet(call), call::isRefusedBy, onAttempt) { reply ->
+    decode(reply) { (it as? PeerReply.Fleet)?.answer }.also(onAnswer)
+}
+
 /** An election takes about 1 s. A caller that would wait longer gets an error instead, and can retry. */
 private const val NO_LEADER_TIMEOUT_MILLIS = 1_000L
 
--- a/node/src/main/kotlin/org/auburnlever/fleet/LeaderlessAdmission.kt
+++ b/node/src/main/kotlin/org/auburnlever/fleet/LeaderlessAdmission.kt
@@ -1,10 +1,10 @@
 package org.auburnlever.fleet
 
-import com.github.michaelbull.result.Err
 import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
 import io.micrometer.core.instrument.MeterRegistry
 import kotlinx.coroutines.delay
+import org.auburnlever.host.CallEvidence
 import org.auburnlever.host.HostClock
 import org.auburnlever.host.LeaderAttempt
 import org.auburnlever.host.RefusalEvidence
@@ -12,6 +12,7 @@
 import org.auburnlever.host.SubmitError
 import org.auburnlever.host.decode
 import org.auburnlever.host.toOutcome
+import org.auburnlever.host.withRefusal
 import org.auburnlever.model.HostName
 import org.auburnlever.peer.PeerReply
 import org.auburnlever.peer.PeerRequest
@@ -19,7 +20,6 @@
 import org.auburnlever.workload.FleetCall
 import org.auburnlever.workload.leaderless.LeaderSign
 import org.auburnlever.workload.leaderless.WaitingCall
-import org.auburnlever.workload.state.Inadmissible
 import org.auburnlever.workload.state.Queue
 
 /**
@@ -41,9 +41,7 @@
         val endMillis: Long,
         val onAttempt: (LeaderAttempt) -> Unit,
     ) {
-        var undecided: String? = null
-        var evidence = RefusalEvidence.NOT_HANDED_ON
-        var attempted = false
+        var evidence = CallEvidence(WORKLOAD_GROUP)
     }
 
     /**
@@ -75,11 +73,12 @@
         val nowMillis = clock.nowMillis()
         val prospect = watch.prospect
         val usefulEndMillis = progress.startMillis + progress.waiting.waitMillis(prospect)
-        if (!progress.attempted && nowMillis >= usefulEndMillis) {
+        if (!progress.evidence.mayHaveTakenEffect && nowMillis >= usefulEndMillis) {
             count("refused")
-            return Err(refusal(progress))
+            return refusal(progress)
         }
-        val untilMillis = if (progress.attempted) progress.endMillis else minOf(usefulEndMillis, progress.endMillis)
+        val untilMillis =
+            if (progress.evidence.mayHaveTakenEffect) progress.endMillis else minOf(usefulEndMillis, progress.endMillis)
         // The prospect changes while the call waits, so it is looked at again.
         watch.awaitLeader((untilMillis - nowMillis).coerceIn(1, PROSPECT_INTERVAL_MILLIS))
         return null
@@ -93,10 +92,10 @@
         val timeoutMillis = (progress.endMillis - attemptMillis).coerceIn(1, ATTEMPT_TIMEOUT_MILLIS)
         val outcome = watch.call(leader, PeerRequest.Fleet(progress.call), timeoutMillis).toOutcome { reply ->
             decode(reply) { (it as? PeerReply.Fleet)?.answer }
-        }
+        }.withRefusal(progress.call::isRefusedBy)
         val startMillis = attemptMillis - progress.startMillis
         progress.onAttempt(LeaderAttempt(leader, startMillis, clock.nowMillis() - attemptMillis, outcome.summary))
-        outcome.evidence?.let { progress.evidence = it }
+        progress.evidence = progress.evidence.with(outcome)
         return if (outcome.evidence == RefusalEvidence.NOT_SENT) {
             count("not_sent")
             if (watch.leader() == leader) delay(RETRY_INTERVAL_MILLIS)
@@ -113,10 +112,9 @@
     ): Result<FleetAnswer, SubmitError>? = when (answer) {
         is Submission.Applied -> {
             watch.observe(leader, LeaderSign.Answered)
-            applied(progress, answer.reply)
+            answered(progress, answer.reply)
         }
-        is Submission.Refused ->
-            Err(unknown(progress) ?: SubmitError.NotSubmitted(answer.message, progress.evidence))
+        is Submission.Refused -> progress.evidence.notSubmitted(answer.message)
         is Submission.NotLeader -> {
             watch.observe(leader, LeaderSign.NotLeading(answer.leader, answer.term))
             // A host that was just elected is named as leader before it can answer.
@@ -124,41 +122,29 @@
             null
         }
         is Submission.Undecided -> {
-            progress.attempted = true
-            if (progress.call.hasEffect) progress.undecided = answer.message
             count("no_reply")
             null
         }
     }
 
-    /** An earlier attempt whose reply was lost may still take effect after a later one was turned away. */
-    private fun applied(progress: Progress, answer: FleetAnswer): Result<FleetAnswer, SubmitError> {
-        val turnedAway = answer is FleetAnswer.NotAdmitted && answer.reason == Inadmissible.OVERLOADED
-        val error = if (turnedAway) unknown(progress) else null
-        if (progress.undecided != null && error == null) count("settled")
-        return if (error == null) Ok(answer) else Err(error)
+    private fun answered(progress: Progress, answer: FleetAnswer): Result<FleetAnswer, SubmitError> {
+        val result = if (progress.call.isRefusedBy(answer)) progress.evidence.refused(answer) else Ok(answer)
+        if (progress.evidence.mayHaveTakenEffect && result.isOk) count("settled")
+        return result
     }
 
     private fun expire(progress: Progress): Result<FleetAnswer, SubmitError> {
-        val error = unknown(progress)
-        count(if (error == null) "expired" else "unknown")
-        return Err(error ?: refusal(progress))
+        count(if (progress.evidence.mayHaveTakenEffect) "unknown" else "expired")
+        return refusal(progress)
     }
 
-    private fun unknown(progress: Progress): SubmitError? =
-        progress.undecided?.let { SubmitError.Undecided("$WORKLOAD_GROUP: $it") }
-
-    private fun refusal(progress: Progress) = SubmitError.NotSubmitted(
+    private fun refusal(progress: Progress): Result<FleetAnswer, SubmitError> = progress.evidence.notSubmitted(
         "no leader of $WORKLOAD_GROUP could be reached",
-        progress.evidence,
         progress.waiting.retryAfterMillis(watch.prospect),
     )
 
     private fun count(outcome: String) = registry.counter("auburn.leaderless.calls", "outcome", outcome).increment()
 
-    private val FleetCall.hasEffect: Boolean
-        get() = this !is FleetCall.ReadJob && this != FleetCall.ReadCatalog
-
     private companion object {
         /** Shorter than an election, so that a new leader is asked soon after it is ready. */
         const val RETRY_INTERVAL_MILLIS = 50L
--- a/node/src/main/kotlin/org/auburnlever/host/AttemptOutcome.kt
+++ b/node/src/main/kotlin/org/auburnlever/host/AttemptOutcome.kt
@@ -28,3 +28,11 @@
         }
     },
 )
+
+/** Returns this outcome with the evidence of the log, if [isRefusal] of its reply. */
+internal fun <T> AttemptOutcome<T>.withRefusal(isRefusal: (T) -> Boolean): AttemptOutcome<T> =
+    if (answer is Submission.Applied && isRefusal(answer.reply)) {
+        AttemptOutcome(answer, "refused by the log: ${answer.reply}", RefusalEvidence.REFUSED_BY_LOG)
+    } else {
+        this
+    }
--- a/node/src/main/kotlin/org/auburnlever/host/ClusterConfigurationClient.kt
+++ b/node/src/main/kotlin/org/auburnlever/host/ClusterConfigurationClient.kt
@@ -43,6 +43,8 @@
             GroupName(CONFIGURATION_GROUP),
             askLocal,
             PeerRequest.SubmitConfiguration(command),
+            // A conflict stands: the version that was accepted excludes any other attempt.
+            isRefusal = { it is ConfigurationReply.Refused },
         ) { reply -> decode(reply) { (it as? PeerReply.Configuration)?.reply } }
         return leaderClient.ask(request, timeoutMillis)
     }
--- a/node/src/main/kotlin/org/auburnlever/host/ClusterLedgerClient.kt
+++ b/node/src/main/kotlin/org/auburnlever/host/ClusterLedgerClient.kt
@@ -10,6 +10,7 @@
 import org.auburnlever.peer.PeerRequest
 import org.auburnlever.settings.LEDGER_GROUP_PREFIX
 import org.auburnlever.wire.HeartbeatReply
+import org.auburnlever.wire.Outcome
 import org.auburnlever.wire.WorkerHeartbeat
 
 /** Calls the leaders of ledgers, through the replicas on this host or over peer links. */
@@ -24,7 +25,13 @@
     ): Result<LedgerReply, SubmitError> {
         val group = ledgerGroup(domain)
         val remote = PeerRequest.SubmitLedger(group, command)
-        return ask(group, timeoutMillis, remote, { it.submit(command) }) { (it as? PeerReply.Ledger)?.reply }
+        val request = LeaderRequest(
+            group,
+            replica(group)?.let { ledger -> suspend { ledger.submit(command) } },
+            remote,
+            isRefusal = { command.isRefusedBy(it) },
+        ) { reply -> decode(reply) { (it as? PeerReply.Ledger)?.reply } }
+        return leaderClient.ask(request, timeoutMillis)
     }
 
     override suspend fun read(
@@ -46,7 +53,10 @@
         }
     }
 
-    /** Asks the leader of [group]: calls [local] if the leader is this host, else sends [remote] to it. */
+    /**
+     * Sends a call that can't be refused to the leader of [group]: calls [local] if the leader is this host, else sends
+     * [remote] to it.
+     */
     private suspend fun <T> ask(
         group: GroupName,
         timeoutMillis: Long,
@@ -55,13 +65,21 @@
         answer: (PeerReply) -> T?,
     ): Result<T, SubmitError> {
         val askLocal = replica(group)?.let { ledger -> suspend { local(ledger) } }
-        return leaderClient.ask(LeaderRequest(group, askLocal, remote) { decode(it, answer) }, timeoutMillis)
+        val request = LeaderRequest(group, askLocal, remote, isRefusal = { false }) { decode(it, answer) }
+        return leaderClient.ask(request, timeoutMillis)
     }
 
     private fun HeartbeatReply?.toSubmission(): Submission<HeartbeatReply> =
         if (this == null) Submission.NotLeader(null) else Submission.Applied(this)
 }
 
+/**
+ * Returns whether [reply] says that this command has no effect. That the job to cancel does not exist is what the
+ * caller asked for.
+ */
+private fun LedgerCommand.isRefusedBy(reply: LedgerReply): Boolean =
+    this !is LedgerCommand.CancelJob && reply is LedgerReply.Rejected && reply.refusal is Outcome.Refused
+
 /** Returns the name of the group that replicates the ledger of [domain]. */
 internal fun ledgerGroup(domain: DomainName) = GroupName("$LEDGER_GROUP_PREFIX$domain")
 
--- a/node/src/main/kotlin/org/auburnlever/host/LeaderClient.kt
+++ b/node/src/main/kotlin/org/auburnlever/host/LeaderClient.kt
@@ -1,6 +1,5 @@
 package org.auburnlever.host
 
-import com.github.michaelbull.result.Err
 import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
 import kotlinx.coroutines.delay
@@ -17,14 +16,14 @@
  *
  * @property local asks this host's replica
  * @property remote the request to send to another host
- * @property turnedAway whether a reply says that the command was not carried out and may be tried again later
+ * @property isRefusal whether a reply says that the attempt has no effect; never true for a read, which has none
  * @property onAttempt receives each attempt when it has ended
  */
 internal class LeaderRequest<T>(
     val group: GroupName,
     val local: (suspend () -> Submission<T>)?,
     val remote: PeerRequest,
-    val turnedAway: (T) -> Boolean = { false },
+    val isRefusal: (T) -> Boolean,
     val onAttempt: (LeaderAttempt) -> Unit = {},
     val decode: (PeerReply) -> Submission<T>,
 )
@@ -52,14 +51,14 @@
         noLeaderTimeoutMillis: Long = timeoutMillis,
     ): Result<T, SubmitError> {
         val startMillis = clock.nowMillis()
-        val search =
-            LeaderSearch(startMillis + timeoutMillis, startMillis + minOf(timeoutMillis, noLeaderTimeoutMillis))
+        val noLeaderDeadlineMillis = startMillis + minOf(timeoutMillis, noLeaderTimeoutMillis)
+        val search = LeaderSearch(request.group, startMillis + timeoutMillis, noLeaderDeadlineMillis)
         var result: Result<T, SubmitError>? = null
         while (result == null && search.canRetry(clock.nowMillis())) {
             result = attempt(request, search, startMillis)
             if (result == null) delay(RETRY_INTERVAL_MILLIS)
         }
-        return result ?: Err(search.error(request.group))
+        return result ?: search.expired()
     }
 
     private suspend fun <T> attempt(
@@ -69,23 +68,20 @@
     ): Result<T, SubmitError>? {
         val attemptMillis = clock.nowMillis()
         val target = target(request, search)
-        val outcome = if (target == null) UNREACHABLE else ask(request, target, search)
+        val outcome = if (target == null) UNREACHABLE else ask(request, target, search).withRefusal(request.isRefusal)
         val answer = outcome.answer
         val nowMillis = clock.nowMillis()
-        search.recordAttempt(target, answer, outcome.evidence, nowMillis)
+        search.recordAttempt(target, outcome, nowMillis)
         val startMillis = attemptMillis - callStartMillis
         request.onAttempt(LeaderAttempt(target, startMillis, nowMillis - attemptMillis, outcome.summary))
         return when (answer) {
-            is Submission.Applied -> applied(request, answer.reply, search)
-            is Submission.Refused -> Err(search.refusal(request.group, answer.message))
+            is Submission.Applied ->
+                if (outcome.evidence == null) Ok(answer.reply) else search.evidence.refused(answer.reply)
+            is Submission.Refused -> search.evidence.notSubmitted(answer.message)
             is Submission.NotLeader, is Submission.Undecided -> null
         }
     }
 
-    /** An earlier attempt whose reply was lost may still take effect after a later one was turned away. */
-    private fun <T> applied(request: LeaderRequest<T>, reply: T, search: LeaderSearch): Result<T, SubmitError> =
-        if (request.turnedAway(reply) && search.mayHaveTakenEffect) Err(search.error(request.group)) else Ok(reply)
-
     private suspend fun <T> ask(
         request: LeaderRequest<T>,
         target: HostName,
--- a/node/src/main/kotlin/org/auburnlever/host/LeaderSearch.kt
+++ b/node/src/main/kotlin/org/auburnlever/host/LeaderSearch.kt
@@ -1,5 +1,6 @@
 package org.auburnlever.host
 
+import com.github.michaelbull.result.Result
 import org.auburnlever.model.HostName
 import org.auburnlever.peer.GroupName
 
@@ -10,11 +11,10 @@
  * early that it can safely retry.
  */
 internal class LeaderSearch(
+    private val group: GroupName,
     private val deadlineMillis: Long,
     private val noLeaderDeadlineMillis: Long = deadlineMillis,
 ) {
-    private var undecidedMessage: String? = null
-    private var evidence = RefusalEvidence.NOT_HANDED_ON
     private var nextIndex = 0
     private var unreachableSinceMillis: Long? = null
 
@@ -26,13 +26,14 @@
     var failedHosts: Set<HostName> = emptySet()
         private set
 
-    /** Whether an attempt may have taken effect, or may still do so. */
-    val mayHaveTakenEffect: Boolean get() = undecidedMessage != null
+    /** What the attempts show about the effect of the request. */
+    var evidence = CallEvidence(group)
+        private set
 
     /** Returns whether another attempt may be made. */
     fun canRetry(nowMillis: Long): Boolean {
         val since = unreachableSinceMillis
-        val limitMillis = if (undecidedMessage == null) noLeaderDeadlineMillis else deadlineMillis
+        val limitMillis = if (evidence.mayHaveTakenEffect) deadlineMillis else noLeaderDeadlineMillis
         return nowMillis < limitMillis && (since == null || nowMillis - since < UNREACHABLE_TIMEOUT_MILLIS)
     }
 
@@ -48,36 +49,16 @@
         return candidates[nextIndex++ % candidates.size]
     }
 
-    /**
-     * Records the [answer] of [target] to an attempt; a null [target] means that no replica could be reached.
-     *
-     * [refusalEvidence] tells why the attempt has no effect; null if it has one or can have one.
-     */
-    fun recordAttempt(
-        target: HostName?,
-        answer: Submission<*>,
-        refusalEvidence: RefusalEvidence?,
-        nowMillis: Long,
-    ) {
-        if (refusalEvidence != null) evidence = refusalEvidence
-        if (answer is Submission.Undecided) undecidedMessage = answer.message
-        hint = (answer as? Submission.NotLeader)?.leader
+    /** Records the [outcome] of an attempt at [target]; null means that no replica could be reached. */
+    fun recordAttempt(target: HostName?, outcome: AttemptOutcome<*>, nowMillis: Long) {
+        evidence = evidence.with(outcome)
+        hint = (outcome.answer as? Submission.NotLeader)?.leader
         failedHosts = (failedHosts + setOfNotNull(target)) - setOfNotNull(hint)
         unreachableSinceMillis = if (target == null) unreachableSinceMillis ?: nowMillis else null
     }
 
-    /** Returns the error of a request whose last attempt was refused with [message]. */
-    fun refusal(group: GroupName, message: String): SubmitError =
-        if (mayHaveTakenEffect) error(group) else SubmitError.NotSubmitted(message, evidence)
-
-    fun error(group: GroupName): SubmitError {
-        val message = undecidedMessage
-        return if (message == null) {
-            SubmitError.NotSubmitted("no leader of $group could be reached", evidence)
-        } else {
-            SubmitError.Undecided("$group: $message")
-        }
-    }
+    /** Returns what is reported of a request that no replica has answered in time. */
+    fun expired(): Result<Nothing, SubmitError> = evidence.notSubmitted("no leader of $group could be reached")
 
     private companion object {
         /** An election takes at most 2 s; after that, a group that can be reached has a leader. */
--- a/node/src/test/kotlin/org/auburnlever/fleet/LeaderlessAdmissionTest.kt
+++ b/node/src/test/kotlin/org/auburnlever/fleet/LeaderlessAdmissionTest.kt
@@ -22,6 +22,7 @@
 import org.auburnlever.transport.PeerDirectory
 import org.auburnlever.workload.FleetAnswer
 import org.auburnlever.workload.FleetCall
+import org.auburnlever.workload.state.Inadmissible
 import org.auburnlever.workload.state.JobAddress
 import org.auburnlever.workload.state.JobSpec
 import org.auburnlever.workload.state.Resources
@@ -96,6 +97,22 @@
         assertIs<SubmitError.Undecided>(submit(timeoutMillis = 1_000).getError())
     }
 
+    /** Guards against a refusal by the next leader of a call that the frozen one may have handled. */
+    @Test
+    fun `a refusal by the log after a call to a frozen leader leaves the call undecided`() {
+        submit()
+        for ((term, reason) in Inadmissible.entries.withIndex()) {
+            val leader = hosts.members[term]
+            val next = hosts.members[(term + 1) % hosts.members.size]
+            hosts.frozen += leader
+            hosts.electAfter(300, next)
+            hosts.answer = FleetAnswer.NotAdmitted(reason)
+            assertIs<SubmitError.Undecided>(submit().getError(), "$reason")
+            assertEquals(Ok(hosts.answer), submit(), "$reason without an attempt whose reply was lost")
+            hosts.frozen -= leader
+        }
+    }
+
     /** Guards against a search whose load grows with the number of callers, after all control hosts are back. */
     @Test
     fun `many callers share one search, and all are served when the hosts are back within 2 s`() {
@@ -114,6 +131,7 @@
     private class FakeHosts(private val clock: HostClock) : PeerClient, PeerDirectory {
         val members = List(6) { HostName("control-$it") }
         val served = ArrayList<HostName>()
+        var answer: FleetAnswer = FleetAnswer.Done
         val frozen = HashSet<HostName>()
         val probes = AtomicInteger()
         private val killed = HashSet<HostName>()
@@ -152,7 +170,7 @@
                 host in frozen -> Err(CallError.NoReply("frozen"))
                 request is PeerRequest.FleetMembers -> Ok(members(host))
                 host != leader -> Ok(PeerReply.NotLeader(leader, term))
-                else -> Ok(PeerReply.Fleet(FleetAnswer.Done)).also { served += host }
+                else -> Ok(PeerReply.Fleet(answer)).also { served += host }
             }
         }
 
--- a/node/src/test/kotlin/org/auburnlever/host/LeaderClientTest.kt
+++ b/node/src/test/kotlin/org/auburnlever/host/LeaderClientTest.kt
@@ -5,6 +5,7 @@
 import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.getError
 import kotlinx.coroutines.runBlocking
+import org.auburnlever.fleet.leaderRequest
 import org.auburnlever.ledger.LedgerCommand
 import org.auburnlever.ledger.LedgerReply
 import org.auburnlever.model.DomainName
@@ -17,6 +18,13 @@
 import org.auburnlever.transport.Peer
 import org.auburnlever.transport.PeerClient
 import org.auburnlever.transport.PeerDirectory
+import org.auburnlever.wire.ErrorCode
+import org.auburnlever.wire.Outcome
+import org.auburnlever.workload.FleetAnswer
+import org.auburnlever.workload.FleetCall
+import org.auburnlever.workload.state.Inadmissible
+import org.auburnlever.workload.state.JobAddress
+import org.auburnlever.workload.state.JobSpec
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertIs
@@ -24,6 +32,10 @@
 class LeaderClientTest {
     private val domain = DomainName("dakar-a")
     private val hosts = listOf(HostName("one"), HostName("two"), HostName("three"))
+    private val address = JobAddress("jobs.example", "/routine/00000000000000a1", key = null)
+    private val submission = FleetCall.SubmitJob(address, JobSpec("", emptyList()))
+    private val noReply: Result<PeerReply, CallError> = Err(CallError.NoReply("link closed"))
+    private val notSent: Result<PeerReply, CallError> = Err(CallError.NotSent("no link"))
 
     /** Guards against a request that is reported as not run although an attempt may have been accepted. */
     @Test
@@ -76,19 +88,44 @@
         assertIs<SubmitError.Undecided>(submit(FakePeers(hosts, answers)).getError())
     }
 
-    /** Guards against the same when the later attempt was recorded as turned away. */
+    /** Guards against the same when the later attempt was refused by the log, whatever the reason. */
     @Test
-    fun `being turned away after an attempt without a reply leaves the command undecided`() {
+    fun `a refusal by the log after an attempt without a reply leaves the submission undecided`() {
+        for (reason in Inadmissible.entries) {
+            val refused = FleetAnswer.NotAdmitted(reason)
+            val result = ask(submission, listOf(noReply, Ok(PeerReply.NotLeader(null)), Ok(PeerReply.Fleet(refused))))
+            assertIs<SubmitError.Undecided>(result.getError(), "$reason")
+            assertEquals(Ok(refused), ask(submission, listOf(notSent, Ok(PeerReply.Fleet(refused)))))
+        }
+    }
+
+    /** Guards against reads and cancellations that stay without an answer after a lost reply. */
+    @Test
+    fun `a lost reply does not affect the answer that a job does not exist`() {
+        val noJob = FleetAnswer.NotAdmitted(Inadmissible.NO_JOB)
+        for (call in listOf(FleetCall.ReadJob(address), FleetCall.CancelJob(address))) {
+            assertEquals(Ok(noJob), ask(call, listOf(noReply, Ok(PeerReply.Fleet(noJob)))))
+        }
+    }
+
+    /** Guards against a cancellation that is reported as refused although an earlier attempt may have taken effect. */
+    @Test
+    fun `a refusal of a cancellation after an attempt without a reply leaves it undecided`() {
+        val refused = PeerReply.Fleet(FleetAnswer.NotAdmitted(Inadmissible.BAD_KEY))
+        val result = ask(FleetCall.CancelJob(address), listOf(noReply, Ok(refused)))
+        assertIs<SubmitError.Undecided>(result.getError())
+    }
+
+    /** Guards against a job of a ledger that is reported as refused although an earlier attempt may have stored it. */
+    @Test
+    fun `a refusal by the ledger after an attempt without a reply leaves the command undecided`() {
+        val refusal = LedgerReply.Rejected(Outcome.Refused(ErrorCode.OVERLOADED, "too many jobs wait"))
         val answers = listOf<Result<PeerReply, CallError>>(
             Err(CallError.NoReply("link closed")),
-            Ok(PeerReply.Ok),
+            Ok(PeerReply.Ledger(refusal)),
         )
-        val peers = FakePeers(hosts, answers)
-        val client = LeaderClient(peers, peers, { null }, { hosts }, HostClock())
-        val request = LeaderRequest(GroupName("workload"), null, PeerRequest.FleetMembers(), { it == "turned away" }) {
-            Submission.Applied("turned away")
-        }
-        assertIs<SubmitError.Undecided>(runBlocking { client.ask(request, TIMEOUT_MILLIS) }.getError())
+        assertIs<SubmitError.Undecided>(submit(FakePeers(hosts, answers)).getError())
+        assertEquals(Ok(refusal), submit(FakePeers(hosts, answers.drop(1))))
     }
 
     /** Guards against an order without an answer of which no log tells who was asked, when, and what each said. */
@@ -107,6 +144,7 @@
             GroupName("workload"),
             null,
             PeerRequest.FleetMembers(),
+            isRefusal = { false },
             onAttempt = { attempts += it },
         ) { reply -> decode(reply) { "done" } }
         assertEquals(Ok("done"), runBlocking { client.ask(request, TIMEOUT_MILLIS) })
@@ -126,6 +164,12 @@
         assertEquals(listOf("one at 0 ms for 110 ms: refused (3 attempts)"), merged.map { "$it" })
     }
 
+    private fun ask(call: FleetCall, answers: List<Result<PeerReply, CallError>>): Result<FleetAnswer, SubmitError> {
+        val peers = FakePeers(hosts, answers)
+        val client = LeaderClient(peers, peers, { null }, { hosts }, HostClock())
+        return runBlocking { client.ask(leaderRequest(call), TIMEOUT_MILLIS) }
+    }
+
     private fun submit(peers: FakePeers): Result<LedgerReply, SubmitError> {
         val leaderClient = LeaderClient(peers, peers, { null }, { hosts }, HostClock())
         val client = ClusterLedgerClient(leaderClient) { null }
