Don't refuse a stored job whose key or queue was removed

A client that sent its job again was answered with 401, 404 or 400 though the job was stored and ran: WorkloadState.accept asked for key, queue and path before it looked whether the job is stored.

A job that is stored at the address of the call is no longer refused. The caller is told that the job is accepted where the call is still allowed, also at a renamed queue. Where the key or the queue is gone, it is told neither that, as the call is not allowed, nor a refusal: the leader replies that the outcome is unknown (504) and that another attempt would be told no more, so that the entry host answers at once.

The replicated state stays as it is. Hosts of the build before read the new field of the reply as an ordinary unknown outcome, and answer after their retries.

--- a/core/src/main/kotlin/org/auburnlever/peer/PeerRequest.kt
+++ b/core/src/main/kotlin/org/auburnlever/peer/PeerRequest.kt
@@ -176,10 +176,14 @@
     @SerialName("not_leader")
     data class NotLeader(val leader: HostName?, val term: Long = 0) : PeerReply
 
-    /** The request may have taken effect. */
+    /**
+     * The request may have taken effect.
+     *
+     * @property conclusive whether another attempt would be told no more
+     */
     @Serializable
     @SerialName("undecided")
-    data class Undecided(val message: String) : PeerReply
+    data class Undecided(val message: String, val conclusive: Boolean = false) : PeerReply
 
     /** The request was not valid or not permitted, and had no effect. */
     @Serializable
--- a/core/src/main/kotlin/org/auburnlever/workload/state/Admission.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/state/Admission.kt
@@ -20,6 +20,16 @@
 fun WorkloadState.jobOf(admitted: AdmittedCall): JobRecord? =
     jobs[admitted.relativePath]?.takeIf { it.isOf(admitted.queue) }
 
+/**
+ * Returns the job that was accepted at [address], also if its queue or the key of its caller was removed since; null if
+ * none is stored.
+ */
+internal fun WorkloadState.acceptedAt(address: JobAddress): JobRecord? {
+    val id = address.path.substringAfterLast('/')
+    val queueAddress = QueueAddress(address.host, address.path.removeSuffix(id))
+    return jobs[id]?.takeIf { it.queueAddress == null || it.queueAddress == queueAddress }
+}
+
 /** Counts the active jobs of [queue] of which no task has begun by [nowMillis]. */
 fun WorkloadState.pendingOf(queue: Queue, nowMillis: Long): Int =
     jobs.values.count { it.isOf(queue) && it.phase == JobPhase.ACTIVE && it.isPending(nowMillis) }
--- a/core/src/main/kotlin/org/auburnlever/workload/state/ApplyWorkload.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/state/ApplyWorkload.kt
@@ -43,9 +43,9 @@
         when {
             admitted.relativePath in jobs -> AppliedWorkload(this, WorkloadReply.Done)
             admitted.relativePath.isEmpty() || '/' in admitted.relativePath ->
-                AppliedWorkload(this, WorkloadReply.NotAdmitted(Inadmissible.NO_JOB))
+                refuse(command, Inadmissible.NO_JOB)
             admitted.queue.policy.needsAdvice ->
-                AppliedWorkload(this, WorkloadReply.NotAdmitted(Inadmissible.NEEDS_ADVICE))
+                refuse(command, Inadmissible.NEEDS_ADVICE)
             command.turnAway -> turnAway(admitted.relativePath, command.returnSlot)
             else -> {
                 val returned = copy(returns = returns.remove(admitted.relativePath))
@@ -53,9 +53,16 @@
             }
         }
     },
-    { AppliedWorkload(this, WorkloadReply.NotAdmitted(it)) },
+    { refuse(command, it) },
 )
 
+/** Refuses a job, unless it was accepted before the queue or the key was removed. */
+private fun WorkloadState.refuse(command: WorkloadCommand.AcceptJob, reason: Inadmissible): AppliedWorkload {
+    val stored = acceptedAt(command.address) != null
+    val reply = if (stored) WorkloadReply.StoredNotAdmitted(reason) else WorkloadReply.NotAdmitted(reason)
+    return AppliedWorkload(this, reply)
+}
+
 /** Returns the record of a job that passed admission, as accepted now. */
 internal fun WorkloadState.newJob(admitted: AdmittedCall, spec: JobSpec) = JobRecord(
     id = admitted.relativePath,
--- a/core/src/main/kotlin/org/auburnlever/workload/state/WorkloadCommand.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/state/WorkloadCommand.kt
@@ -137,6 +137,15 @@
     @Serializable
     @SerialName("not_admitted")
     data class NotAdmitted(val reason: Inadmissible, val returnMillis: Long? = null) : WorkloadReply
+
+    /**
+     * The job that was submitted is stored already, and a first submission would not be admitted now for [reason].
+     *
+     * The caller must be told neither that the job is accepted, as the call is not allowed, nor that it never runs.
+     */
+    @Serializable
+    @SerialName("stored_not_admitted")
+    data class StoredNotAdmitted(val reason: Inadmissible) : WorkloadReply
 }
 
 /** Why a client's call is not admitted. */
--- a/core/src/test/kotlin/org/auburnlever/workload/state/ApplyWorkloadTest.kt
+++ b/core/src/test/kotlin/org/auburnlever/workload/state/ApplyWorkloadTest.kt
@@ -64,6 +64,40 @@
         assertTrue(workload.state.jobs.isEmpty())
     }
 
+    private fun resent(turnAway: Boolean = false) =
+        workload.apply(WorkloadCommand.AcceptJob(address("routine", JOB), JobSpec("", listOf(step(1))), turnAway))
+
+    /** Guards against callers that are told that their job never runs after a change of the configuration. */
+    @Test
+    fun `a stored job that arrives again is not refused after its key, queue or policy service has changed`() {
+        workload.submit("routine", JOB, step(tasks = 1))
+        val routine = queue("routine", 2)
+        val keyRemoved = catalog(version = 2).copy(accounts = emptyList())
+        val outer = routine.copy(name = "outer", pathPrefix = "/")
+        val advised = routine.copy(policy = routine.policy.copy(needsAdvice = true))
+        val expected = listOf(
+            keyRemoved to WorkloadReply.StoredNotAdmitted(Inadmissible.BAD_KEY),
+            catalog(version = 3, queues = emptyList()) to WorkloadReply.StoredNotAdmitted(Inadmissible.NO_QUEUE),
+            catalog(version = 4, queues = listOf(outer)) to WorkloadReply.StoredNotAdmitted(Inadmissible.NO_JOB),
+            catalog(version = 5, queues = listOf(advised)) to WorkloadReply.Done,
+            catalog(version = 6, queues = listOf(routine.copy(name = "renamed"))) to WorkloadReply.Done,
+        )
+        for ((catalog, reply) in expected) {
+            workload.withCatalog(catalog)
+            assertEquals(reply, resent(), "version ${catalog.version}")
+        }
+        assertEquals(WorkloadReply.Done, resent(turnAway = true), "while new jobs are turned away")
+        assertEquals(1, workload.state.jobs.size)
+    }
+
+    /** Guards against other jobs that are reported as possibly stored. */
+    @Test
+    fun `a job of another queue does not keep a refusal from being reported`() {
+        workload.submit("routine", JOB, step(tasks = 1))
+        val call = WorkloadCommand.AcceptJob(address("gone", JOB), JobSpec("", listOf(step(1))))
+        assertEquals(WorkloadReply.NotAdmitted(Inadmissible.NO_QUEUE), workload.apply(call))
+    }
+
     @Test
     fun `a task that is assigned is not assigned again`() {
         workload.submit("routine", JOB, step(tasks = 1))
--- a/node/src/main/kotlin/org/auburnlever/fleet/FleetCallHandler.kt
+++ b/node/src/main/kotlin/org/auburnlever/fleet/FleetCallHandler.kt
@@ -89,7 +89,7 @@
     }
 
     private fun Submission<WorkloadReply>.toAnswer(): Submission<FleetAnswer> = when (this) {
-        is Submission.Applied -> Submission.Applied(reply.toAnswer())
+        is Submission.Applied -> reply.toAnswer()
         is Submission.NotLeader -> this
         is Submission.Refused -> this
         is Submission.Undecided -> this
@@ -106,10 +106,14 @@
         decisions.write(DecisionLogEntry(event, id, details), view.term)
     }
 
-    private fun WorkloadReply.toAnswer(): FleetAnswer = when (this) {
-        is WorkloadReply.NotAdmitted ->
-            FleetAnswer.NotAdmitted(reason, returnMillis?.let { maxOf(0, it - clock.nowMillis()) })
-        WorkloadReply.Done, is WorkloadReply.Assigned, is WorkloadReply.Recorded -> FleetAnswer.Done
+    private fun WorkloadReply.toAnswer(): Submission<FleetAnswer> = when (this) {
+        is WorkloadReply.NotAdmitted -> {
+            val retryAfterMillis = returnMillis?.let { maxOf(0, it - clock.nowMillis()) }
+            Submission.Applied(FleetAnswer.NotAdmitted(reason, retryAfterMillis))
+        }
+        is WorkloadReply.StoredNotAdmitted ->
+            Submission.Undecided("the job is stored, but its call is not admitted any more: $reason", conclusive = true)
+        WorkloadReply.Done, is WorkloadReply.Assigned, is WorkloadReply.Recorded -> Submission.Applied(FleetAnswer.Done)
     }
 
     private suspend fun read(answer: (WorkloadState) -> FleetAnswer): Submission<FleetAnswer> =
--- a/node/src/main/kotlin/org/auburnlever/fleet/LeaderlessAdmission.kt
+++ b/node/src/main/kotlin/org/auburnlever/fleet/LeaderlessAdmission.kt
@@ -75,7 +75,7 @@
         val usefulEndMillis = progress.startMillis + progress.waiting.waitMillis(prospect)
         if (!progress.evidence.mayHaveTakenEffect && nowMillis >= usefulEndMillis) {
             count("refused")
-            return refusal(progress)
+            return unanswered(progress)
         }
         val untilMillis =
             if (progress.evidence.mayHaveTakenEffect) progress.endMillis else minOf(usefulEndMillis, progress.endMillis)
@@ -121,7 +121,10 @@
             if (watch.leader().let { it == null || it == leader }) delay(RETRY_INTERVAL_MILLIS)
             null
         }
-        is Submission.Undecided -> {
+        is Submission.Undecided -> if (answer.conclusive) {
+            watch.observe(leader, LeaderSign.Answered)
+            unanswered(progress)
+        } else {
             count("no_reply")
             null
         }
@@ -135,10 +138,10 @@
 
     private fun expire(progress: Progress): Result<FleetAnswer, SubmitError> {
         count(if (progress.evidence.mayHaveTakenEffect) "unknown" else "expired")
-        return refusal(progress)
+        return unanswered(progress)
     }
 
-    private fun refusal(progress: Progress): Result<FleetAnswer, SubmitError> = progress.evidence.notSubmitted(
+    private fun unanswered(progress: Progress): Result<FleetAnswer, SubmitError> = progress.evidence.notSubmitted(
         "no leader of $WORKLOAD_GROUP could be reached",
         progress.waiting.retryAfterMillis(watch.prospect),
     )
--- a/node/src/main/kotlin/org/auburnlever/host/ClusterLedgerClient.kt
+++ b/node/src/main/kotlin/org/auburnlever/host/ClusterLedgerClient.kt
@@ -86,7 +86,7 @@
 /** Converts a peer reply to a [Submission]; [answer] extracts the expected answer, or returns null for another type. */
 internal fun <T> decode(reply: PeerReply, answer: (PeerReply) -> T?): Submission<T> = when (reply) {
     is PeerReply.NotLeader -> Submission.NotLeader(reply.leader, reply.term)
-    is PeerReply.Undecided -> Submission.Undecided(reply.message)
+    is PeerReply.Undecided -> Submission.Undecided(reply.message, reply.conclusive)
     is PeerReply.NotDone -> Submission.Refused(reply.message)
     else -> answer(reply)?.let { Submission.Applied(it) } ?: Submission.Undecided("unexpected type of reply")
 }
--- a/node/src/main/kotlin/org/auburnlever/host/HostPeerHandler.kt
+++ b/node/src/main/kotlin/org/auburnlever/host/HostPeerHandler.kt
@@ -88,5 +88,5 @@
     is Submission.Applied -> applied(reply)
     is Submission.NotLeader -> PeerReply.NotLeader(leader, term)
     is Submission.Refused -> PeerReply.NotDone(message)
-    is Submission.Undecided -> PeerReply.Undecided(message)
+    is Submission.Undecided -> PeerReply.Undecided(message, conclusive)
 }
--- a/node/src/main/kotlin/org/auburnlever/host/LeaderClient.kt
+++ b/node/src/main/kotlin/org/auburnlever/host/LeaderClient.kt
@@ -58,7 +58,7 @@
             result = attempt(request, search, startMillis)
             if (result == null) delay(RETRY_INTERVAL_MILLIS)
         }
-        return result ?: search.expired()
+        return result ?: search.unanswered()
     }
 
     private suspend fun <T> attempt(
@@ -78,7 +78,8 @@
             is Submission.Applied ->
                 if (outcome.evidence == null) Ok(answer.reply) else search.evidence.refused(answer.reply)
             is Submission.Refused -> search.evidence.notSubmitted(answer.message)
-            is Submission.NotLeader, is Submission.Undecided -> null
+            is Submission.Undecided -> if (answer.conclusive) search.unanswered() else null
+            is Submission.NotLeader -> null
         }
     }
 
--- a/node/src/main/kotlin/org/auburnlever/host/LeaderSearch.kt
+++ b/node/src/main/kotlin/org/auburnlever/host/LeaderSearch.kt
@@ -57,8 +57,8 @@
         unreachableSinceMillis = if (target == null) unreachableSinceMillis ?: nowMillis else null
     }
 
-    /** Returns what is reported of a request that no replica has answered in time. */
-    fun expired(): Result<Nothing, SubmitError> = evidence.notSubmitted("no leader of $group could be reached")
+    /** Returns what is reported of a request that ends without an answer. */
+    fun unanswered(): Result<Nothing, SubmitError> = evidence.notSubmitted("no leader of $group could be reached")
 
     private companion object {
         /** An election takes at most 2 s; after that, a group that can be reached has a leader. */
--- a/node/src/main/kotlin/org/auburnlever/host/Submission.kt
+++ b/node/src/main/kotlin/org/auburnlever/host/Submission.kt
@@ -13,6 +13,10 @@
     /** It has no effect, and no replica would accept it. */
     data class Refused(val message: String) : Submission<Nothing>
 
-    /** It may have taken effect, or may still take effect. */
-    data class Undecided(val message: String) : Submission<Nothing>
+    /**
+     * It may have taken effect, or may still take effect.
+     *
+     * @property conclusive whether another attempt would be told no more
+     */
+    data class Undecided(val message: String, val conclusive: Boolean = false) : Submission<Nothing>
 }
--- a/node/src/test/kotlin/org/auburnlever/host/LeaderClientTest.kt
+++ b/node/src/test/kotlin/org/auburnlever/host/LeaderClientTest.kt
@@ -99,6 +99,14 @@
         }
     }
 
+    /** Guards against a stored job whose caller waits for its whole timeout for an answer that can't change. */
+    @Test
+    fun `an outcome that no attempt can settle is reported at once`() {
+        val peers = FakePeers(hosts, listOf(Ok(PeerReply.Undecided("stored", conclusive = true))))
+        assertIs<SubmitError.Undecided>(submit(peers).getError())
+        assertEquals(1, peers.asked.size)
+    }
+
     /** Guards against reads and cancellations that stay without an answer after a lost reply. */
     @Test
     fun `a lost reply does not affect the answer that a job does not exist`() {
