--- a/node/src/main/kotlin/org/auburnlever/fleet/LeaderlessAdmission.kt
+++ b/node/src/main/kotlin/org/auburnlever/fleet/LeaderlessAdmission.kt
@@ -1,24 +1,25 @@
 package org.auburnlever.fleet
 
-import com.github.michaelbull.result.Err
 import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
-import com.github.michaelbull.result.fold
 import io.micrometer.core.instrument.MeterRegistry
 import kotlinx.coroutines.delay
+import org.auburnlever.host.CallEvidence
 import org.auburnlever.host.HostClock
+import org.auburnlever.host.LeaderAttempt
+import org.auburnlever.host.RefusalEvidence
 import org.auburnlever.host.Submission
 import org.auburnlever.host.SubmitError
 import org.auburnlever.host.decode
+import org.auburnlever.host.toOutcome
+import org.auburnlever.host.withRefusal
 import org.auburnlever.model.HostName
 import org.auburnlever.peer.PeerReply
 import org.auburnlever.peer.PeerRequest
-import org.auburnlever.transport.CallError
 import org.auburnlever.workload.FleetAnswer
 import org.auburnlever.workload.FleetCall
 import org.auburnlever.workload.leaderless.LeaderSign
 import org.auburnlever.workload.leaderless.WaitingCall
-import org.auburnlever.workload.state.Inadmissible
 import org.auburnlever.workload.state.Queue
 
 /**
@@ -33,15 +34,28 @@
     private val clock: HostClock,
     private val registry: MeterRegistry,
 ) {
-    private class Progress(val call: FleetCall, val waiting: WaitingCall, val startMillis: Long, val endMillis: Long) {
-        var undecided: String? = null
-        var attempted = false
+    private class Progress(
+        val call: FleetCall,
+        val waiting: WaitingCall,
+        val startMillis: Long,
+        val endMillis: Long,
+        val onAttempt: (LeaderAttempt) -> Unit,
+    ) {
+        var evidence = CallEvidence(WORKLOAD_GROUP)
     }
 
-    /** Sends [call] to the leader until it is answered, is refused, or [timeoutMillis] have passed. */
-    suspend fun ask(call: FleetCall, timeoutMillis: Long): Result<FleetAnswer, SubmitError> {
+    /**
+     * Sends [call] to the leader until it is answered, is refused, or [timeoutMillis] have passed.
+     *
+     * [onAttempt] receives each attempt when it has ended.
+     */
+    suspend fun ask(
+        call: FleetCall,
+        timeoutMillis: Long,
+        onAttempt: (LeaderAttempt) -> Unit = {},
+    ): Result<FleetAnswer, SubmitError> {
         val nowMillis = clock.nowMillis()
-        val progress = Progress(call, WaitingCall.of(call, queues()), nowMillis, nowMillis + timeoutMillis)
+        val progress = Progress(call, WaitingCall.of(call, queues()), nowMillis, nowMillis + timeoutMillis, onAttempt)
         var result: Result<FleetAnswer, SubmitError>? = null
         while (result == null) {
             result = if (clock.nowMillis() >= progress.endMillis) expire(progress) else step(progress)
@@ -59,11 +73,12 @@
         val nowMillis = clock.nowMillis()
         val prospect = watch.prospect
         val usefulEndMillis = progress.startMillis + progress.waiting.waitMillis(prospect)
-        if (!progress.attempted && nowMillis >= usefulEndMillis) {
+        if (!progress.evidence.mayHaveTakenEffect && nowMillis >= usefulEndMillis) {
             count("refused")
-            return Err(refusal(progress))
+            return unanswered(progress)
         }
-        val untilMillis = if (progress.attempted) progress.endMillis else minOf(usefulEndMillis, progress.endMillis)
+        val untilMillis =
+            if (progress.evidence.mayHaveTakenEffect) progress.endMillis else minOf(usefulEndMillis, progress.endMillis)
         // The prospect changes while the call waits, so it is looked at again.
         watch.awaitLeader((untilMillis - nowMillis).coerceIn(1, PROSPECT_INTERVAL_MILLIS))
         return null
@@ -73,64 +88,66 @@
         progress: Progress,
         leader: HostName,
     ): Result<FleetAnswer, SubmitError>? {
-        val timeoutMillis = (progress.endMillis - clock.nowMillis()).coerceIn(1, ATTEMPT_TIMEOUT_MILLIS)
-        val answer = watch.call(leader, PeerRequest.Fleet(progress.call), timeoutMillis).fold(
-            { reply -> decode(reply) { (it as? PeerReply.Fleet)?.answer } },
-            { if (it is CallError.NotSent) null else Submission.Undecided(it.message) },
-        )
-        return when (answer) {
-            null -> {
-                count("not_sent")
-                if (watch.leader() == leader) delay(RETRY_INTERVAL_MILLIS)
-                null
-            }
-            is Submission.Applied -> {
-                watch.observe(leader, LeaderSign.Answered)
-                applied(progress, answer.reply)
-            }
-            is Submission.Refused -> Err(unknown(progress) ?: SubmitError.NotSubmitted(answer.message))
-            is Submission.NotLeader -> {
-                watch.observe(leader, LeaderSign.NotLeading(answer.leader, answer.term))
-                // A host that was just elected is named as leader before it can answer.
-                if (watch.leader().let { it == null || it == leader }) delay(RETRY_INTERVAL_MILLIS)
-                null
-            }
-            is Submission.Undecided -> {
-                progress.attempted = true
-                if (progress.call.hasEffect) progress.undecided = answer.message
-                count("no_reply")
-                null
-            }
+        val attemptMillis = clock.nowMillis()
+        val timeoutMillis = (progress.endMillis - attemptMillis).coerceIn(1, ATTEMPT_TIMEOUT_MILLIS)
+        val outcome = watch.call(leader, PeerRequest.Fleet(progress.call), timeoutMillis).toOutcome { reply ->
+            decode(reply) { (it as? PeerReply.Fleet)?.answer }
+        }.withRefusal(progress.call::isRefusedBy)
+        val startMillis = attemptMillis - progress.startMillis
+        progress.onAttempt(LeaderAttempt(leader, startMillis, clock.nowMillis() - attemptMillis, outcome.summary))
+        progress.evidence = progress.evidence.with(outcome)
+        return if (outcome.evidence == RefusalEvidence.NOT_SENT) {
+            count("not_sent")
+            if (watch.leader() == leader) delay(RETRY_INTERVAL_MILLIS)
+            null
+        } else {
+            handle(progress, leader, outcome.answer)
         }
     }
 
-    /** An earlier attempt whose reply was lost may still take effect after a later one was turned away. */
-    private fun applied(progress: Progress, answer: FleetAnswer): Result<FleetAnswer, SubmitError> {
-        val turnedAway = answer is FleetAnswer.NotAdmitted && answer.reason == Inadmissible.OVERLOADED
-        val error = if (turnedAway) unknown(progress) else null
-        if (progress.undecided != null && error == null) count("settled")
-        return if (error == null) Ok(answer) else Err(error)
+    private suspend fun handle(
+        progress: Progress,
+        leader: HostName,
+        answer: Submission<FleetAnswer>,
+    ): Result<FleetAnswer, SubmitError>? = when (answer) {
+        is Submission.Applied -> {
+            watch.observe(leader, LeaderSign.Answered)
+            answered(progress, answer.reply)
+        }
+        is Submission.Refused -> progress.evidence.notSubmitted(answer.message)
+        is Submission.NotLeader -> {
+            watch.observe(leader, LeaderSign.NotLeading(answer.leader, answer.term))
+            // A host that was just elected is named as leader before it can answer.
+            if (watch.leader().let { it == null || it == leader }) delay(RETRY_INTERVAL_MILLIS)
+            null
+        }
+        is Submission.Undecided -> if (answer.conclusive) {
+            watch.observe(leader, LeaderSign.Answered)
+            unanswered(progress)
+        } else {
+            count("no_reply")
+            null
+        }
     }
 
-    private fun expire(progress: Progress): Result<FleetAnswer, SubmitError> {
-        val error = unknown(progress)
-        count(if (error == null) "expired" else "unknown")
-        return Err(error ?: refusal(progress))
+    private fun answered(progress: Progress, answer: FleetAnswer): Result<FleetAnswer, SubmitError> {
+        val result = if (progress.call.isRefusedBy(answer)) progress.evidence.refused(answer) else Ok(answer)
+        if (progress.evidence.mayHaveTakenEffect && result.isOk) count("settled")
+        return result
     }
 
-    private fun unknown(progress: Progress): SubmitError? =
-        progress.undecided?.let { SubmitError.Undecided("$WORKLOAD_GROUP: $it") }
+    private fun expire(progress: Progress): Result<FleetAnswer, SubmitError> {
+        count(if (progress.evidence.mayHaveTakenEffect) "unknown" else "expired")
+        return unanswered(progress)
+    }
 
-    private fun refusal(progress: Progress) = SubmitError.NotSubmitted(
+    private fun unanswered(progress: Progress): Result<FleetAnswer, SubmitError> = progress.evidence.notSubmitted(
         "no leader of $WORKLOAD_GROUP could be reached",
         progress.waiting.retryAfterMillis(watch.prospect),
     )
 
     private fun count(outcome: String) = registry.counter("auburn.leaderless.calls", "outcome", outcome).increment()
 
-    private val FleetCall.hasEffect: Boolean
-        get() = this !is FleetCall.ReadJob && this != FleetCall.ReadCatalog
-
     private companion object {
         /** Shorter than an election, so that a new leader is asked soon after it is ready. */
         const val RETRY_INTERVAL_MILLIS = 50L
--- a/node/src/main/kotlin/org/auburnlever/host/LeaderClient.kt
+++ b/node/src/main/kotlin/org/auburnlever/host/LeaderClient.kt
@@ -1,16 +1,13 @@
 package org.auburnlever.host
 
-import com.github.michaelbull.result.Err
 import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
-import com.github.michaelbull.result.fold
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.withTimeoutOrNull
 import org.auburnlever.model.HostName
 import org.auburnlever.peer.GroupName
 import org.auburnlever.peer.PeerReply
 import org.auburnlever.peer.PeerRequest
-import org.auburnlever.transport.CallError
 import org.auburnlever.transport.PeerClient
 import org.auburnlever.transport.PeerDirectory
 
@@ -19,14 +16,14 @@
  *
  * @property local asks this host's replica
  * @property remote the request to send to another host
- * @property turnedAway whether a reply says that the command was not carried out and may be tried again later
+ * @property isRefusal whether a reply says that the attempt has no effect; never true for a read, which has none
  * @property onAttempt receives each attempt when it has ended
  */
 internal class LeaderRequest<T>(
     val group: GroupName,
     val local: (suspend () -> Submission<T>)?,
     val remote: PeerRequest,
-    val turnedAway: (T) -> Boolean = { false },
+    val isRefusal: (T) -> Boolean,
     val onAttempt: (LeaderAttempt) -> Unit = {},
     val decode: (PeerReply) -> Submission<T>,
 )
@@ -54,14 +51,14 @@
         noLeaderTimeoutMillis: Long = timeoutMillis,
     ): Result<T, SubmitError> {
         val startMillis = clock.nowMillis()
-        val search =
-            LeaderSearch(startMillis + timeoutMillis, startMillis + minOf(timeoutMillis, noLeaderTimeoutMillis))
+        val noLeaderDeadlineMillis = startMillis + minOf(timeoutMillis, noLeaderTimeoutMillis)
+        val search = LeaderSearch(request.group, startMillis + timeoutMillis, noLeaderDeadlineMillis)
         var result: Result<T, SubmitError>? = null
         while (result == null && search.canRetry(clock.nowMillis())) {
             result = attempt(request, search, startMillis)
             if (result == null) delay(RETRY_INTERVAL_MILLIS)
         }
-        return result ?: Err(search.error(request.group))
+        return result ?: search.unanswered()
     }
 
     private suspend fun <T> attempt(
@@ -71,23 +68,21 @@
     ): Result<T, SubmitError>? {
         val attemptMillis = clock.nowMillis()
         val target = target(request, search)
-        val outcome = if (target == null) UNREACHABLE else ask(request, target, search)
+        val outcome = if (target == null) UNREACHABLE else ask(request, target, search).withRefusal(request.isRefusal)
         val answer = outcome.answer
         val nowMillis = clock.nowMillis()
-        search.recordAttempt(target, answer, nowMillis)
+        search.recordAttempt(target, outcome, nowMillis)
         val startMillis = attemptMillis - callStartMillis
         request.onAttempt(LeaderAttempt(target, startMillis, nowMillis - attemptMillis, outcome.summary))
         return when (answer) {
-            is Submission.Applied -> applied(request, answer.reply, search)
-            is Submission.Refused -> Err(search.refusal(request.group, answer.message))
-            is Submission.NotLeader, is Submission.Undecided -> null
+            is Submission.Applied ->
+                if (outcome.evidence == null) Ok(answer.reply) else search.evidence.refused(answer.reply)
+            is Submission.Refused -> search.evidence.notSubmitted(answer.message)
+            is Submission.Undecided -> if (answer.conclusive) search.unanswered() else null
+            is Submission.NotLeader -> null
         }
     }
 
-    /** An earlier attempt whose reply was lost may still take effect after a later one was turned away. */
-    private fun <T> applied(request: LeaderRequest<T>, reply: T, search: LeaderSearch): Result<T, SubmitError> =
-        if (request.turnedAway(reply) && search.mayHaveTakenEffect) Err(search.error(request.group)) else Ok(reply)
-
     private suspend fun <T> ask(
         request: LeaderRequest<T>,
         target: HostName,
@@ -100,19 +95,9 @@
                 ?: Submission.Undecided("no decision within $attemptTimeoutMillis ms")
             return AttemptOutcome(answer)
         }
-        return peers.call(target, request.remote, attemptTimeoutMillis).fold(
-            { AttemptOutcome(request.decode(it)) },
-            { error ->
-                when (error) {
-                    is CallError.NotSent -> AttemptOutcome(Submission.NotLeader(null), "not sent: ${error.message}")
-                    is CallError.NoReply -> AttemptOutcome(Submission.Undecided(error.message))
-                }
-            },
-        )
+        return peers.call(target, request.remote, attemptTimeoutMillis).toOutcome(request.decode)
     }
 
-    private class AttemptOutcome<out T>(val answer: Submission<T>, val summary: String = answer.summary())
-
     /** Returns the host named as leader if it is reachable and has not failed; else the next replica in turn. */
     private fun target(request: LeaderRequest<*>, search: LeaderSearch): HostName? {
         val reachable = directory.reachable() + listOfNotNull(directory.self.host.takeIf { request.local != null })
@@ -122,7 +107,11 @@
     }
 
     private companion object {
-        val UNREACHABLE = AttemptOutcome(Submission.NotLeader(null), "no replica is reachable")
+        val UNREACHABLE = AttemptOutcome(
+            Submission.NotLeader(null),
+            "no replica is reachable",
+            RefusalEvidence.NOT_HANDED_ON,
+        )
 
         /** Shorter than an election, so that a new leader is found soon after its election. */
         const val RETRY_INTERVAL_MILLIS = 50L
