Check in the schedules of faults that a replaced proposal is never applied

A proposer is told that its command has no effect when an entry of another term is applied at the index at which the command was accepted. The schedules of the consensus checked only proposals that were rejected at once.

--- a/core/src/test/kotlin/org/auburnlever/consensus/HistoryChecker.kt
+++ b/core/src/test/kotlin/org/auburnlever/consensus/HistoryChecker.kt
@@ -19,6 +19,10 @@
     var commandsInParts = 0
         private set
 
+    /** Number of accepted proposals whose entries were replaced by those of other leaders. */
+    var replacedProposals = 0
+        private set
+
     val commitIndex: Long get() = committed.size.toLong()
     val completedWrites: Long get() = completedIndex
     var confirmedReads = 0
@@ -70,8 +74,15 @@
         check(id !in rejectedIds) { "proposal $id was rejected and applied" }
     }
 
-    fun recordCompleted(index: Long) {
-        completedIndex = maxOf(completedIndex, index)
+    /** Records what a replica tells the proposer of an accepted proposal once [entry] is applied at its index. */
+    fun recordOutcome(accepted: ReplicaEffect.Accepted, entry: LogEntry) {
+        if (accepted.term == entry.term) {
+            completedIndex = maxOf(completedIndex, entry.index)
+            if (entry.payload !is EntryPayload.Members) checkCommand(entry.index, accepted.proposalId)
+        } else {
+            replacedProposals++
+            recordRejected(accepted.proposalId)
+        }
     }
 
     fun recordRejected(proposalId: Long) {
--- a/core/src/test/kotlin/org/auburnlever/consensus/ScheduleTest.kt
+++ b/core/src/test/kotlin/org/auburnlever/consensus/ScheduleTest.kt
@@ -13,8 +13,8 @@
 class ScheduleTest {
     /**
      * Guards against two leaders in a term, lost or changed commits, replicas that apply different orders, stale reads,
-     * proposals that are both rejected and applied, and groups that do not recover. The failure message names the seed
-     * of each failing schedule.
+     * proposals that are applied although they were rejected or their entries replaced, and groups that do not recover.
+     * The failure message names the seed of each failing schedule.
      */
     @Test
     fun `seeded schedules of faults keep every guarantee`() {
@@ -67,6 +67,7 @@
     fun counts() = mapOf(
         "committed" to cluster.history.commitIndex.toInt(),
         "commands in parts" to cluster.history.commandsInParts,
+        "replaced proposals" to cluster.history.replacedProposals,
         "reads" to cluster.history.confirmedReads,
         "elections" to cluster.history.elections,
         "restores" to cluster.hosts.sumOf { it.restoreCount },
--- a/core/src/test/kotlin/org/auburnlever/consensus/SimulatedHost.kt
+++ b/core/src/test/kotlin/org/auburnlever/consensus/SimulatedHost.kt
@@ -29,7 +29,7 @@
     private var assembly = CommandAssembly()
     private var unsynced: List<ReplicaEffect>? = null
     private val inputs = mutableListOf<ReplicaInput>()
-    private val accepted = mutableMapOf<Long, Long>()
+    private val accepted = mutableMapOf<Long, ReplicaEffect.Accepted>()
 
     val running: ReplicaState get() = checkNotNull(state) { "$name is stopped" }
 
@@ -90,7 +90,7 @@
             is ReplicaEffect.Send -> network.send(id, effect, nowMillis)
             is ReplicaEffect.Apply -> effect.entries.forEach(::apply)
             is ReplicaEffect.Restore -> restore(effect.snapshot)
-            is ReplicaEffect.Accepted -> accepted[effect.index] = effect.term
+            is ReplicaEffect.Accepted -> accepted[effect.index] = effect
             is ReplicaEffect.Rejected -> history.recordRejected(effect.proposalId)
             is ReplicaEffect.ReadConfirmed -> history.recordReadConfirmed(effect.readId, effect.index)
             is ReplicaEffect.Persist, is ReplicaEffect.LeaderChanged -> Unit
@@ -104,7 +104,7 @@
         val command = assembly.commandAt(entry.payload)?.decodeToString()?.substringBefore(' ')?.toLong()
         history.checkCommand(entry.index, command)
         assembly = assembly.after(entry.payload)
-        if (accepted.remove(entry.index) == entry.term) history.recordCompleted(entry.index)
+        accepted.remove(entry.index)?.let { history.recordOutcome(it, entry) }
     }
 
     private fun restore(snapshot: Snapshot) {
@@ -113,6 +113,8 @@
         appliedIndex = index
         digest = value
         assembly = CommandAssembly()
+        // The outcome of proposals whose entries the snapshot replaced stays unknown.
+        accepted.keys.removeAll { it <= index }
         restoreCount++
     }
 
