Answer each submission whose log entry was lost to another leader

A caller got no answer to a command that a leader had appended and that no majority had: it waited until its attempt timed out and was told that the command may take effect. A membership change has no time-out, so the upkeep of the members would have stood still on that host.

Cause: an answer was given only once an entry was applied at the index of the command. A new leader's log may be shorter and take long to get there. A leader that is elected again may also accept another command at the same index, which displaced the first one.

A submission is now also refused once an entry of a later term is applied before its index: terms never decrease along a log, so no log with that entry can hold the command. Two terms may have a submission at one index. ReplicaDriver gets the step that starts its replica, so that tests can drive it with small limits.

--- a/core/src/main/kotlin/org/auburnlever/consensus/ReplicaEffect.kt
+++ b/core/src/main/kotlin/org/auburnlever/consensus/ReplicaEffect.kt
@@ -18,8 +18,9 @@
      * Reports that a proposal was appended at [index], or with its last part there, in [term]; its
      * outcome is known when an entry at [index] is applied.
      *
-     * If that entry has [term], it is the proposal's; otherwise the proposal has no effect. If a [Restore] to [index]
-     * or later comes first, the outcome stays unknown.
+     * If that entry has [term], it is the proposal's; otherwise the proposal has no effect. It has none either once an
+     * entry of a later term is applied before [index]. If a [Restore] to [index] or later comes first, the outcome
+     * stays unknown.
      */
     data class Accepted(val proposalId: Long, val index: Long, val term: Long) : ReplicaEffect
 
--- a/core/src/test/kotlin/org/auburnlever/consensus/HistoryChecker.kt
+++ b/core/src/test/kotlin/org/auburnlever/consensus/HistoryChecker.kt
@@ -74,7 +74,7 @@
         check(id !in rejectedIds) { "proposal $id was rejected and applied" }
     }
 
-    /** Records what a replica tells the proposer of an accepted proposal once [entry] is applied at its index. */
+    /** Records what a replica tells the proposer of an accepted proposal that is decided once [entry] is applied. */
     fun recordOutcome(accepted: ReplicaEffect.Accepted, entry: LogEntry) {
         if (accepted.term == entry.term) {
             completedIndex = maxOf(completedIndex, entry.index)
--- a/core/src/test/kotlin/org/auburnlever/consensus/SimulatedHost.kt
+++ b/core/src/test/kotlin/org/auburnlever/consensus/SimulatedHost.kt
@@ -29,7 +29,7 @@
     private var assembly = CommandAssembly()
     private var unsynced: List<ReplicaEffect>? = null
     private val inputs = mutableListOf<ReplicaInput>()
-    private val accepted = mutableMapOf<Long, ReplicaEffect.Accepted>()
+    private val accepted = mutableListOf<ReplicaEffect.Accepted>()
 
     val running: ReplicaState get() = checkNotNull(state) { "$name is stopped" }
 
@@ -90,7 +90,7 @@
             is ReplicaEffect.Send -> network.send(id, effect, nowMillis)
             is ReplicaEffect.Apply -> effect.entries.forEach(::apply)
             is ReplicaEffect.Restore -> restore(effect.snapshot)
-            is ReplicaEffect.Accepted -> accepted[effect.index] = effect
+            is ReplicaEffect.Accepted -> accepted += effect
             is ReplicaEffect.Rejected -> history.recordRejected(effect.proposalId)
             is ReplicaEffect.ReadConfirmed -> history.recordReadConfirmed(effect.readId, effect.index)
             is ReplicaEffect.Persist, is ReplicaEffect.LeaderChanged -> Unit
@@ -104,7 +104,9 @@
         val command = assembly.commandAt(entry.payload)?.decodeToString()?.substringBefore(' ')?.toLong()
         history.checkCommand(entry.index, command)
         assembly = assembly.after(entry.payload)
-        accepted.remove(entry.index)?.let { history.recordOutcome(it, entry) }
+        val decided = accepted.filter { it.index == entry.index || it.index > entry.index && it.term < entry.term }
+        accepted.removeAll(decided)
+        decided.forEach { history.recordOutcome(it, entry) }
     }
 
     private fun restore(snapshot: Snapshot) {
@@ -114,7 +116,7 @@
         digest = value
         assembly = CommandAssembly()
         // The outcome of proposals whose entries the snapshot replaced stays unknown.
-        accepted.keys.removeAll { it <= index }
+        accepted.removeAll { it.index <= index }
         restoreCount++
     }
 
--- a/node/src/main/kotlin/org/auburnlever/host/GroupRunner.kt
+++ b/node/src/main/kotlin/org/auburnlever/host/GroupRunner.kt
@@ -8,6 +8,9 @@
 import org.auburnlever.consensus.ReplicaId
 import org.auburnlever.consensus.ReplicaInput
 import org.auburnlever.consensus.ReplicaMessage
+import org.auburnlever.consensus.ReplicaSettings
+import org.auburnlever.consensus.ReplicaStep
+import org.auburnlever.consensus.startReplica
 import org.auburnlever.peer.GroupName
 import org.auburnlever.storage.OpenedLog
 import java.util.concurrent.LinkedBlockingQueue
@@ -42,7 +45,9 @@
 ) {
     private val inbox = LinkedBlockingQueue<GroupInput<S, R>>()
     private val commandBytes = AtomicLong()
-    private val driver = ReplicaDriver(group, opened, initialMembership, stateMachine, groupContext, clock.nowMillis())
+    private val driver =
+        opened.startReplica(group, initialMembership, clock.nowMillis())
+            .let { ReplicaDriver(group, opened.store, it, stateMachine, groupContext) }
     private var lastTickMillis = 0L
 
     @Volatile
@@ -174,3 +179,8 @@
         const val STOP_TIMEOUT_MILLIS = 2_000L
     }
 }
+
+private fun OpenedLog.startReplica(group: GroupName, initialMembership: Membership, nowMillis: Long): ReplicaStep {
+    val settings = ReplicaSettings(seed = replica.hashCode().toLong() * group.value.hashCode())
+    return startReplica(replica, recovered, initialMembership, settings, nowMillis)
+}
--- a/node/src/main/kotlin/org/auburnlever/host/PendingSubmissions.kt
+++ b/node/src/main/kotlin/org/auburnlever/host/PendingSubmissions.kt
@@ -5,20 +5,19 @@
 import org.auburnlever.consensus.RejectionReason
 import org.auburnlever.consensus.ReplicaEffect
 import org.auburnlever.consensus.ReplicaId
+import org.auburnlever.consensus.Snapshot
 
 /** Submissions to one replica that wait for their entry or read index. Used by the decision thread only. */
 internal class PendingSubmissions<S, R> {
     /** Completes one submission, with the reply of its command (null for a membership change) or with a refusal. */
     private class PendingSubmission<R>(val complete: (R?) -> Unit, val refuse: (Submission<Nothing>) -> Unit)
 
-    private class PendingEntry<R>(val term: Long, val submission: PendingSubmission<R>)
-
     private class PendingRead<S>(val index: Long, val result: CompletableDeferred<Submission<S>>)
 
     private var lastId = 0L
     private val proposals = HashMap<Long, PendingSubmission<R>>()
     private val reads = HashMap<Long, CompletableDeferred<Submission<S>>>()
-    private val entries = HashMap<Long, PendingEntry<R>>()
+    private val entries = PendingEntries<PendingSubmission<R>>()
     private var confirmedReads = emptyList<PendingRead<S>>()
 
     fun addProposal(result: CompletableDeferred<Submission<R>>): Long = add(
@@ -40,7 +39,7 @@
 
     fun onAccepted(effect: ReplicaEffect.Accepted) {
         val submission = proposals.remove(effect.proposalId) ?: return
-        entries[effect.index] = PendingEntry(effect.term, submission)
+        entries.add(effect.index, effect.term, submission)
     }
 
     fun onRejected(effect: ReplicaEffect.Rejected) {
@@ -49,21 +48,18 @@
         reads.remove(effect.proposalId)?.complete(refusal)
     }
 
-    /** Completes the submission for [entry]. If the entry at its index has another term, it was never committed. */
+    /** Completes the submission for [entry], and refuses those whose entries can't be committed any more. */
     fun onApplied(entry: LogEntry, reply: R?) {
-        val expected = entries.remove(entry.index) ?: return
-        if (expected.term == entry.term) {
-            expected.submission.complete(reply)
-        } else {
-            expected.submission.refuse(Submission.NotLeader(leader = null))
-        }
+        val decided = entries.removeDecided(entry)
+        decided.applied.forEach { it.complete(reply) }
+        decided.replaced.forEach { it.refuse(NOT_COMMITTED) }
     }
 
-    /** Completes the submissions up to [lastIndex] as undecided, as a snapshot replaced their entries. */
-    fun onRestored(lastIndex: Long) {
-        entries.keys.filter { it <= lastIndex }.forEach { index ->
-            entries.remove(index)?.submission?.refuse?.invoke(Submission.Undecided("a snapshot replaced the log entry"))
-        }
+    /** Completes the submissions up to the end of [snapshot] as undecided, as it replaced their entries. */
+    fun onRestored(snapshot: Snapshot) {
+        entries.removeCoveredBy(snapshot)
+            .forEach { it.refuse(Submission.Undecided("a snapshot replaced the log entry")) }
+        entries.removeAfter(snapshot.lastIndex, snapshot.lastTerm).forEach { it.refuse(NOT_COMMITTED) }
     }
 
     fun onReadConfirmed(effect: ReplicaEffect.ReadConfirmed) {
@@ -85,6 +81,8 @@
     }
 }
 
+private val NOT_COMMITTED = Submission.NotLeader(leader = null)
+
 private fun refusal(reason: RejectionReason, leader: ReplicaId?): Submission<Nothing> = when (reason) {
     RejectionReason.NOT_LEADER, RejectionReason.LEADERSHIP_LOST -> Submission.NotLeader(leader?.host)
     RejectionReason.TOO_LARGE -> Submission.Refused("the command is too large for a log entry")
--- a/node/src/main/kotlin/org/auburnlever/host/ReplicaDriver.kt
+++ b/node/src/main/kotlin/org/auburnlever/host/ReplicaDriver.kt
@@ -4,11 +4,8 @@
 import io.github.oshai.kotlinlogging.KotlinLogging
 import org.auburnlever.consensus.CommandAssembly
 import org.auburnlever.consensus.LogEntry
-import org.auburnlever.consensus.Membership
 import org.auburnlever.consensus.ReplicaEffect
 import org.auburnlever.consensus.ReplicaInput
-import org.auburnlever.consensus.ReplicaSettings
-import org.auburnlever.consensus.ReplicaState
 import org.auburnlever.consensus.ReplicaStep
 import org.auburnlever.consensus.committedMembership
 import org.auburnlever.consensus.lastIndex
@@ -18,33 +15,31 @@
 import org.auburnlever.consensus.raftRole
 import org.auburnlever.consensus.role
 import org.auburnlever.consensus.snapshotDue
-import org.auburnlever.consensus.startReplica
 import org.auburnlever.consensus.stepAll
 import org.auburnlever.peer.GroupName
-import org.auburnlever.storage.OpenedLog
+import org.auburnlever.storage.LogStore
 
 private val logger = KotlinLogging.logger {}
 
-/** Steps one replica, persists its writes and applies its log to [stateMachine]. Used by one thread at a time. */
+/**
+ * Steps one replica, persists its writes and applies its log to [stateMachine]. Used by one thread at a time. [start]
+ * is the step with which the replica was started from what [store] holds.
+ */
 internal class ReplicaDriver<S, R>(
     private val group: GroupName,
-    private val opened: OpenedLog,
-    initialMembership: Membership,
+    private val store: LogStore,
+    start: ReplicaStep,
     private val stateMachine: StateMachine<S, R>,
     private val groupContext: GroupContext,
-    nowMillis: Long,
 ) {
     val pending = PendingSubmissions<S, R>()
     private var state = stateMachine.initial
     private var appliedIndex = 0L
     private var assembly = CommandAssembly()
-    private var replica: ReplicaState
+    private var replica = start.state
 
     init {
-        val settings = ReplicaSettings(seed = opened.replica.hashCode().toLong() * group.value.hashCode())
-        val initialStep = startReplica(opened.replica, opened.recovered, initialMembership, settings, nowMillis)
-        replica = initialStep.state
-        initialStep.effects.filterIsInstance<ReplicaEffect.Restore>().forEach { restore(it) }
+        start.effects.filterIsInstance<ReplicaEffect.Restore>().forEach { restore(it) }
     }
 
     /** Processes [inputs] as one batch and takes a snapshot if one is due; false if the log can't be written. */
@@ -72,7 +67,7 @@
         peers = replica.peers,
     )
 
-    fun close() = opened.store.close()
+    fun close() = store.close()
 
     private fun carryOut(step: ReplicaStep): Boolean {
         replica = step.state
@@ -88,7 +83,7 @@
     private fun store(step: ReplicaStep): Boolean {
         val writes = step.effects.filterIsInstance<ReplicaEffect.Persist>().map { it.write }
         if (writes.isEmpty()) return true
-        return opened.store.write(writes)
+        return store.write(writes)
             .onFailure { groupContext.fail("group $group can't write its log: ${it.message}") }
             .isOk
     }
@@ -122,6 +117,6 @@
         state = stateMachine.decode(effect.snapshot.state)
         appliedIndex = effect.snapshot.lastIndex
         assembly = CommandAssembly()
-        pending.onRestored(appliedIndex)
+        pending.onRestored(effect.snapshot)
     }
 }
