Test that a call that was reported as not sent never arrives

A call over a link is taken as never carried out if its frame was not written. No test broke, stalled or replaced links while calls wait, time out and are given up. The relay of the tests can now keep bytes back and close connections.

--- a/node/src/test/kotlin/org/auburnlever/transport/FreezableRelay.kt
+++ b/node/src/test/kotlin/org/auburnlever/transport/FreezableRelay.kt
@@ -2,21 +2,29 @@
 
 import java.io.IOException
 import java.net.InetAddress
+import java.net.InetSocketAddress
 import java.net.ServerSocket
 import java.net.Socket
 import java.util.concurrent.CopyOnWriteArrayList
+import java.util.concurrent.CountDownLatch
+import java.util.concurrent.atomic.AtomicReference
 import kotlin.concurrent.thread
 
 /**
  * Forwards TCP connections to [targetPort].
  *
  * After [freeze] the connections open at that time stay open but drop all bytes, as with a middlebox that lost their
- * state; connections opened later work.
+ * state; connections opened later work. Between [stall] and [resume] all connections keep their bytes back.
  */
 internal class FreezableRelay(private val targetPort: Int) : AutoCloseable {
-    private val listener = ServerSocket(0, BACKLOG, InetAddress.getLoopbackAddress())
+    // A small buffer, so that a stall soon blocks the sender.
+    private val listener = ServerSocket().apply {
+        receiveBufferSize = BUFFER_BYTES
+        bind(InetSocketAddress(InetAddress.getLoopbackAddress(), 0), BACKLOG)
+    }
     private val sockets = CopyOnWriteArrayList<Socket>()
     private val frozen = CopyOnWriteArrayList<Socket>()
+    private val gate = AtomicReference(CountDownLatch(0))
 
     val port: Int get() = listener.localPort
 
@@ -26,9 +34,17 @@
 
     fun freeze() = frozen.addAll(sockets)
 
+    fun stall() = gate.set(CountDownLatch(1))
+
+    fun resume() = gate.get().countDown()
+
+    /** Closes the open connections. */
+    fun cut() = sockets.forEach { it.close() }
+
     override fun close() {
         listener.close()
-        sockets.forEach { it.close() }
+        resume()
+        cut()
     }
 
     /** Forwards one connection; if the target does not listen yet, only this connection fails. */
@@ -45,6 +61,7 @@
         val buffer = ByteArray(BUFFER_BYTES)
         var count = from.getInputStream().read(buffer)
         while (count >= 0) {
+            gate.get().await()
             if (from !in frozen) to.getOutputStream().write(buffer, 0, count)
             count = from.getInputStream().read(buffer)
         }
