Report a read without an answer as not submitted again

With leaderless-admission a read whose reply was lost was reported as undecided since the clients share CallEvidence, although a read never has an unknown outcome (docs/design/leaderless.md). CallEvidence now knows whether the call can have an effect.

--- a/node/src/main/kotlin/org/auburnlever/fleet/FleetCallLog.kt
+++ b/node/src/main/kotlin/org/auburnlever/fleet/FleetCallLog.kt
@@ -118,12 +118,16 @@
  * Returns whether [answer] says that this call has no effect. A read has none in any case, and the answer that the job
  * to cancel does not exist is what the caller asked for.
  */
-internal fun FleetCall.isRefusedBy(answer: FleetAnswer): Boolean = answer is FleetAnswer.NotAdmitted && when (this) {
-    is FleetCall.ReadJob, FleetCall.ReadCatalog, FleetCall.ReadEvacuations -> false
-    is FleetCall.CancelJob -> answer.reason != Inadmissible.NO_JOB
+internal fun FleetCall.isRefusedBy(answer: FleetAnswer): Boolean = answer is FleetAnswer.NotAdmitted && when {
+    isRead -> false
+    this is FleetCall.CancelJob -> answer.reason != Inadmissible.NO_JOB
     else -> true
 }
 
+/** Whether the call changes nothing. */
+internal val FleetCall.isRead: Boolean
+    get() = this is FleetCall.ReadJob || this == FleetCall.ReadCatalog || this == FleetCall.ReadEvacuations
+
 /**
  * What an order concerns: the version of the desired state, the failure domain, the job or the worker.
  *
--- a/node/src/main/kotlin/org/auburnlever/fleet/LeaderlessAdmission.kt
+++ b/node/src/main/kotlin/org/auburnlever/fleet/LeaderlessAdmission.kt
@@ -41,7 +41,7 @@
         val endMillis: Long,
         val onAttempt: (LeaderAttempt) -> Unit,
     ) {
-        var evidence = CallEvidence(WORKLOAD_GROUP)
+        var evidence = CallEvidence(WORKLOAD_GROUP, hasEffect = !call.isRead)
     }
 
     /**
@@ -73,12 +73,12 @@
         val nowMillis = clock.nowMillis()
         val prospect = watch.prospect
         val usefulEndMillis = progress.startMillis + progress.waiting.waitMillis(prospect)
-        if (!progress.evidence.mayHaveTakenEffect && nowMillis >= usefulEndMillis) {
+        if (!progress.evidence.hasLostReply && nowMillis >= usefulEndMillis) {
             count("refused")
             return unanswered(progress)
         }
         val untilMillis =
-            if (progress.evidence.mayHaveTakenEffect) progress.endMillis else minOf(usefulEndMillis, progress.endMillis)
+            if (progress.evidence.hasLostReply) progress.endMillis else minOf(usefulEndMillis, progress.endMillis)
         // The prospect changes while the call waits, so it is looked at again.
         watch.awaitLeader((untilMillis - nowMillis).coerceIn(1, PROSPECT_INTERVAL_MILLIS))
         return null
--- a/node/src/main/kotlin/org/auburnlever/host/CallEvidence.kt
+++ b/node/src/main/kotlin/org/auburnlever/host/CallEvidence.kt
@@ -10,14 +10,20 @@
  *
  * It alone decides whether a refusal may be reported: not after an attempt that may have taken effect, since a later
  * attempt is decided for itself, with a configuration and a load that may have changed in between.
+ *
+ * @property hasEffect false for a read that is reported as refused although a reply was lost
  */
 internal data class CallEvidence(
     private val group: GroupName,
+    private val hasEffect: Boolean = true,
     private val undecidedMessage: String? = null,
     private val lastRefusal: RefusalEvidence = RefusalEvidence.NOT_HANDED_ON,
 ) {
+    /** Whether an attempt ended without a reply. */
+    val hasLostReply: Boolean get() = undecidedMessage != null
+
     /** Whether an attempt may have taken effect, or may still do so. */
-    val mayHaveTakenEffect: Boolean get() = undecidedMessage != null
+    val mayHaveTakenEffect: Boolean get() = hasEffect && hasLostReply
 
     /** Returns this evidence with that of another attempt. */
     fun with(outcome: AttemptOutcome<*>): CallEvidence {
@@ -36,5 +42,5 @@
         unlessUndecided(Err(SubmitError.NotSubmitted(message, lastRefusal, retryAfterMillis)))
 
     private fun <T> unlessUndecided(refusal: Result<T, SubmitError>): Result<T, SubmitError> =
-        if (undecidedMessage == null) refusal else Err(SubmitError.Undecided(undecidedMessage))
+        if (hasEffect && undecidedMessage != null) Err(SubmitError.Undecided(undecidedMessage)) else refusal
 }
--- a/node/src/main/kotlin/org/auburnlever/host/LeaderSearch.kt
+++ b/node/src/main/kotlin/org/auburnlever/host/LeaderSearch.kt
@@ -33,7 +33,7 @@
     /** Returns whether another attempt may be made. */
     fun canRetry(nowMillis: Long): Boolean {
         val since = unreachableSinceMillis
-        val limitMillis = if (evidence.mayHaveTakenEffect) deadlineMillis else noLeaderDeadlineMillis
+        val limitMillis = if (evidence.hasLostReply) deadlineMillis else noLeaderDeadlineMillis
         return nowMillis < limitMillis && (since == null || nowMillis - since < UNREACHABLE_TIMEOUT_MILLIS)
     }
 
--- a/node/src/test/kotlin/org/auburnlever/fleet/LeaderlessAdmissionTest.kt
+++ b/node/src/test/kotlin/org/auburnlever/fleet/LeaderlessAdmissionTest.kt
@@ -97,6 +97,15 @@
         assertIs<SubmitError.Undecided>(submit(timeoutMillis = 1_000).getError())
     }
 
+    /** Guards against a read that is reported as one whose outcome is unknown. */
+    @Test
+    fun `a read without an answer is not undecided`() {
+        submit()
+        hosts.frozen += hosts.members[0]
+        val read = FleetCall.ReadJob(JobAddress("jobs", "/q/1", null))
+        assertIs<SubmitError.NotSubmitted>(runBlocking { admission.ask(read, timeoutMillis = 1_000) }.getError())
+    }
+
     /** Guards against a refusal by the next leader of a call that the frozen one may have handled. */
     @Test
     fun `a refusal by the log after a call to a frozen leader leaves the call undecided`() {
