Ask the hosts that reloaded settings name, and be ready only if a member answers

A control host that had not been admitted yet, or was removed while it was down, asked only the seeds of its start.

dialHosts opened links and did nothing else: calls and refreshes choose from the members and from the seeds of the start, and with all of these gone no refresh found a host to ask. Readiness asked for any open link.

KnownHosts now holds the members and all seeds that settings have named. A reload adds seeds and refreshes at once; calls ask the seeds too while no member is reachable; requests for admission go to all known hosts. An entry host is ready while a member is reachable and a control host has named the members within 5 s. Without a member it searches each 200 ms.

--- a/node/src/main/kotlin/org/auburnlever/fleet/ControlHost.kt
+++ b/node/src/main/kotlin/org/auburnlever/fleet/ControlHost.kt
@@ -126,8 +126,8 @@
         }
     }
 
-    /** Connects to [hosts], which reloaded settings name. */
-    fun dialHosts(hosts: List<HostName>) = hosts.forEach(peers::dial)
+    /** Connects to [hosts], which reloaded settings name, and also asks them for the leader and for admission. */
+    fun dialHosts(hosts: List<HostName>) = peers.addSeeds(hosts)
 
     /** Waits until the host is shut down or fails; the error is the reason of the failure. */
     fun awaitEnd(): Result<Unit, String> = end.get()
--- a/node/src/main/kotlin/org/auburnlever/fleet/EntryHost.kt
+++ b/node/src/main/kotlin/org/auburnlever/fleet/EntryHost.kt
@@ -9,10 +9,11 @@
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.cancel
-import kotlinx.coroutines.delay
+import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.isActive
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.runBlocking
+import kotlinx.coroutines.withTimeoutOrNull
 import org.auburnlever.host.HostClock
 import org.auburnlever.model.HostName
 import org.auburnlever.peer.PeerMessage
@@ -51,32 +52,34 @@
     /** Calls the leader of the workload group. */
     val client = FleetClient(transport, peers::members, local = null, clock, FleetCallLog(registry), admission)
 
-    /** Whether this host can reach a control host. */
-    val isConnected: Boolean get() = transport.reachable().isNotEmpty()
+    private val reloads = Channel<Unit>(Channel.CONFLATED)
+
+    @Volatile
+    private var answeredMillis: Long? = null
+
+    /** Whether this host can reach a member of the workload group, and a control host has named the members lately. */
+    val isConnected: Boolean
+        get() {
+            val answered = answeredMillis
+            return answered != null && clock.nowMillis() - answered < ANSWER_VALID_MILLIS && peers.reachesMember
+        }
 
     /** Connects to the control hosts. */
     fun start(): Result<Unit, String> = try {
         runBlocking { transport.start() }
         settings.seedHosts.forEach(peers::dial)
-        scope.launch {
-            var queuesDueMillis = 0L
-            while (scope.isActive) {
-                delay(REFRESH_INTERVAL_MILLIS)
-                val withQueues = decidesAdmission && clock.nowMillis() >= queuesDueMillis
-                peers.refresh(withQueues)
-                if (withQueues && peers.queues.isNotEmpty()) {
-                    queuesDueMillis = clock.nowMillis() + QUEUES_INTERVAL_MILLIS
-                }
-            }
-        }
+        scope.launch { refreshMembers() }
         logger.info { "entry host ${self.host} started" }
         Ok(Unit)
     } catch (e: IOException) {
         Err("entry host can't start: ${e.message}")
     }
 
-    /** Connects to [hosts], which reloaded settings name. */
-    fun dialHosts(hosts: List<HostName>) = hosts.forEach(peers::dial)
+    /** Connects to [hosts], which reloaded settings name, and also asks them for the members and the leader. */
+    fun dialHosts(hosts: List<HostName>) {
+        peers.addSeeds(hosts)
+        reloads.trySend(Unit)
+    }
 
     /** Waits until the host is shut down or fails; the error is the reason of the failure. */
     fun awaitEnd(): Result<Unit, String> = end.get()
@@ -88,6 +91,20 @@
         end.complete(Ok(Unit))
     }
 
+    private suspend fun refreshMembers() {
+        var queuesDueMillis = 0L
+        while (scope.isActive) {
+            val withQueues = decidesAdmission && clock.nowMillis() >= queuesDueMillis
+            val isAnswered = peers.refresh(withQueues)
+            if (isAnswered) answeredMillis = clock.nowMillis()
+            if (withQueues && peers.queues.isNotEmpty()) {
+                queuesDueMillis = clock.nowMillis() + QUEUES_INTERVAL_MILLIS
+            }
+            val pauseMillis = if (isAnswered && isConnected) REFRESH_INTERVAL_MILLIS else SEARCH_INTERVAL_MILLIS
+            withTimeoutOrNull(pauseMillis) { reloads.receive() }
+        }
+    }
+
     private object RefusingPeerHandler : PeerHandler {
         override fun onConsensus(message: PeerMessage.Consensus) = Unit
 
@@ -101,6 +118,12 @@
         /** Time in which new control hosts are found. The previous ones continue to answer until then. */
         const val REFRESH_INTERVAL_MILLIS = 2_000L
 
+        /** A host that finds no member can serve no client. */
+        const val SEARCH_INTERVAL_MILLIS = 200L
+
+        /** Two refreshes may go unanswered, since a single control host may be frozen. */
+        const val ANSWER_VALID_MILLIS = 5_000L
+
         /** Objectives of queues change rarely, and outdated ones only change how long a call waits for a leader. */
         const val QUEUES_INTERVAL_MILLIS = 20_000L
     }
--- a/node/src/main/kotlin/org/auburnlever/fleet/FleetMembership.kt
+++ b/node/src/main/kotlin/org/auburnlever/fleet/FleetMembership.kt
@@ -109,7 +109,7 @@
 
     /** Sends [request] to all known hosts at the same time, as some may be gone, and returns the replies. */
     private suspend fun callAll(request: PeerRequest, timeoutMillis: Long): List<PeerReply> = coroutineScope {
-        val hosts = (peers.members() + settings.seedHosts).distinct().filter { it != settings.self }
+        val hosts = peers.all.filter { it != settings.self }
         hosts.map { host -> async { transport.call(host, request, timeoutMillis).getOr(null) } }
             .awaitAll().filterNotNull()
     }
