Tell in task_stopping why a run is stopped, and for whom

Each stop now has a StopReason, which its repetitions keep. task_stopping names it; for a preemption also the urgent step, its priority, the workers that had room for a task of it, those that only rules kept from it, and why the step as a whole had no room.

--- a/core/src/main/kotlin/org/auburnlever/workload/Coordinator.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/Coordinator.kt
@@ -28,6 +28,7 @@
 import org.auburnlever.workload.preemption.PreemptionControl
 import org.auburnlever.workload.preemption.logDenials
 import org.auburnlever.workload.preemption.logPreemption
+import org.auburnlever.workload.preemption.preemptionReasons
 import org.auburnlever.workload.runs.LeaderState
 import org.auburnlever.workload.runs.OrderAnswer
 import org.auburnlever.workload.runs.WorkerOrder
@@ -248,9 +249,10 @@
             admission.planned(state, input, plan, known, nowMillis)
         }
         plan.overridden.forEach { (step, rules) -> logDecision("hold_overridden", "$step", "rules" to rules) }
+        val preemptions = preemptionReasons(state, plan, nowMillis)
         plan.preemptedFor.forEach { (run, step) ->
             logDecision("task_displaced", run.toString(), "for" to step)
-            runs[run]?.let { stop(run, it, nowMillis) }
+            runs[run]?.let { stop(run, it, preemptions.getValue(run), nowMillis) }
         }
         moveEvacuatedRuns(state, input, plan, nowMillis)
         val bounded = if (SchedulingFeature.LEADERLESS_ADMISSION in features) {
--- a/core/src/main/kotlin/org/auburnlever/workload/evacuation/MoveRuns.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/evacuation/MoveRuns.kt
@@ -3,6 +3,7 @@
 import org.auburnlever.workload.planning.PlanningInput
 import org.auburnlever.workload.planning.WorkPlan
 import org.auburnlever.workload.runs.LeaderState
+import org.auburnlever.workload.runs.StopReason
 import org.auburnlever.workload.runs.stop
 import org.auburnlever.workload.state.WorkloadState
 
@@ -19,11 +20,11 @@
         .filter { state.forbidsStartsOn(it) && it.report != null && it.failedCalls == 0 && it.failedPolls == 0 }
         .map { it.ref.id }.toSet()
     runs.filterValues { it.worker.id in evacuated && it.stopSentMillis != null && it.stopAnsweredMillis == null }
-        .forEach { (run, view) -> stop(run, view, nowMillis) }
+        .forEach { (run, view) -> stop(run, view, StopReason.Evacuation, nowMillis) }
     EvacuationMoves(input, plan, evacuated, nowMillis).find().forEach { move ->
         move.runs.forEach { run ->
             logDecision("evacuation_move", run.toString(), "worker" to runs[run]?.worker?.id, "kind" to move.kind)
-            runs[run]?.let { stop(run, it, nowMillis) }
+            runs[run]?.let { stop(run, it, StopReason.Evacuation, nowMillis) }
         }
     }
 }
--- a/core/src/main/kotlin/org/auburnlever/workload/holds/RoomReasons.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/holds/RoomReasons.kt
@@ -58,7 +58,8 @@
 /** Whether the tasks run faster on a certain rack or on a single one. */
 private val StepSpec.isRackBound: Boolean get() = dataRack != null || rackSensitive
 
-private fun FleetRoom.pool(step: WaitingStep): List<WorkerRoom> {
+/** Returns the workers that may run [step], whether or not they can be used now. */
+internal fun FleetRoom.pool(step: WaitingStep): List<WorkerRoom> {
     val constraint = step.spec.constraint
     return workers.filter {
         it.report.service == step.job.service && (constraint == null || constraint in it.report.labels)
--- a/core/src/main/kotlin/org/auburnlever/workload/interference/InterferenceControl.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/interference/InterferenceControl.kt
@@ -2,6 +2,7 @@
 
 import org.auburnlever.workload.runs.LeaderState
 import org.auburnlever.workload.runs.OrderAnswer
+import org.auburnlever.workload.runs.StopReason
 import org.auburnlever.workload.runs.WorkerOrder
 import org.auburnlever.workload.runs.stop
 import org.auburnlever.workload.state.TaskRun
@@ -68,7 +69,7 @@
     val permitted = StopAllowance(runs, workers, electedMillis, limits, nowMillis).permits(job, run)
     val event = if (permitted) "task_moved" else "move_withheld"
     logDecision(event, run.toString(), "worker" to view.worker.id, "reason" to "its pace can't be ordered")
-    if (permitted) stop(run, view, nowMillis)
+    if (permitted) stop(run, view, StopReason.NotPaced, nowMillis)
 }
 
 private fun LeaderState.logNotice(
--- a/core/src/main/kotlin/org/auburnlever/workload/runs/LeaderState.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/runs/LeaderState.kt
@@ -85,8 +85,13 @@
         effects += CoordinatorEffect.Order(order)
     }
 
-    fun logDecision(event: String, id: String, vararg details: Pair<String, Any?>) {
-        effects += CoordinatorEffect.Log(DecisionLogEntry(event, id, details.toMap()))
+    fun logDecision(
+        event: String,
+        id: String,
+        vararg details: Pair<String, Any?>,
+        more: Map<String, Any?> = emptyMap(),
+    ) {
+        effects += CoordinatorEffect.Log(DecisionLogEntry(event, id, details.toMap() + more))
     }
 
     /** Runs [decide] and returns the effects that it added. */
--- a/core/src/main/kotlin/org/auburnlever/workload/runs/RunOrders.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/runs/RunOrders.kt
@@ -70,15 +70,26 @@
 private fun WorkerView?.isSameIncarnation(expected: WorkerRef, answer: OrderAnswer.Done): Boolean =
     this != null && ref == expected && answer.clockMillis >= clockMillis
 
-/** Orders [run] to stop, unless an order was sent less than [STOP_REPEAT_MILLIS] ago. */
-internal fun LeaderState.stop(run: TaskRun, view: RunView, nowMillis: Long) {
+/**
+ * Orders [run] to stop for [reason], unless an order was sent less than [STOP_REPEAT_MILLIS] ago.
+ *
+ * The reason of the first order stays that of the later ones, which only repeat it.
+ */
+internal fun LeaderState.stop(run: TaskRun, view: RunView, reason: StopReason, nowMillis: Long) {
     val due = view.stopSentMillis.let { it == null || nowMillis - it >= STOP_REPEAT_MILLIS }
     if (!due) return
     val current = runs[run] ?: view
     val sinceMillis = current.stoppingSinceMillis ?: nowMillis
-    put(run, current.copy(stopSentMillis = nowMillis, stoppingSinceMillis = sinceMillis))
+    val firstReason = current.stopReason ?: reason
+    put(run, current.copy(stopSentMillis = nowMillis, stoppingSinceMillis = sinceMillis, stopReason = firstReason))
     order(WorkerOrder.Stop(view.worker, term, run))
-    logDecision("task_stopping", run.toString(), "worker" to view.worker.id)
+    logDecision(
+        "task_stopping",
+        run.toString(),
+        "worker" to view.worker.id,
+        "stoppingForMillis" to nowMillis - sinceMillis,
+        more = firstReason.logFields,
+    )
 }
 
 /** Handles the answer to a stop. */
--- a/core/src/main/kotlin/org/auburnlever/workload/runs/RunReconciliation.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/runs/RunReconciliation.kt
@@ -40,8 +40,12 @@
 internal fun LeaderState.stopUnwantedRuns(state: WorkloadState, nowMillis: Long) {
     runs.forEach { (run, view) ->
         val job = state.jobs[run.task.job]
-        val unwanted = job == null || job.phase != JobPhase.ACTIVE || job.hasIncompleteGang(run.task.stepId)
-        if (unwanted) stop(run, view, nowMillis)
+        val reason = when {
+            job == null || job.phase != JobPhase.ACTIVE -> StopReason.JobEnded(job?.phase)
+            job.hasIncompleteGang(run.task.stepId) -> StopReason.GangIncomplete
+            else -> null
+        }
+        if (reason != null) stop(run, view, reason, nowMillis)
     }
     stopLateStarts(nowMillis)
 }
--- a/core/src/main/kotlin/org/auburnlever/workload/runs/RunView.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/runs/RunView.kt
@@ -16,6 +16,7 @@
  * @property stopAnsweredMillis when the worker confirmed a stop, after which the run can't begin any more
  * @property stopSentMillis when the newest stop was sent
  * @property stoppingSinceMillis when the first stop was sent
+ * @property stopReason why the first stop was sent
  * @property progressMillis when [percent] last changed; 0 for an adopted run without progress so far
  * @property figure measurement of the newest list, see [ActiveRun.figure]
  */
@@ -34,6 +35,7 @@
     val stopSentMillis: Long? = null,
     val stoppingSinceMillis: Long? = null,
     val stopAnsweredMillis: Long? = null,
+    val stopReason: StopReason? = null,
     val figure: Long? = null,
 ) {
     /** Time from the start to the newest poll that listed the run; null if none did. */
--- a/core/src/main/kotlin/org/auburnlever/workload/runs/StalledRuns.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/runs/StalledRuns.kt
@@ -33,7 +33,7 @@
     val urgent = stalled.filterKeys { it !in protectedRuns && state.jobs[it.task.job]?.policy?.priority == URGENT }
     urgent.forEach { (run, view) ->
         logDecision("task_stalled", run.toString(), "worker" to view.worker.id, "percent" to view.percent)
-        stop(run, view, nowMillis)
+        stop(run, view, StopReason.Stalled, nowMillis)
     }
 }
 
--- a/core/src/main/kotlin/org/auburnlever/workload/runs/WorkerPolling.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/runs/WorkerPolling.kt
@@ -168,7 +168,7 @@
             logDecision("task_lost", run.toString(), "worker" to ref.id, "reason" to "not listed", "stopped" to stopped)
         } else {
             put(run, view.copy(missingSinceMillis = view.missingSinceMillis ?: nowMillis))
-            stop(run, view, nowMillis)
+            stop(run, view, StopReason.NotListed, nowMillis)
         }
     }
 }
