Don't call a resend refused where its key can't be looked up

An entry host answered a job as refused, that is not run and never to run, while it was shutting down, had no bundle, did not know the account's token or did not know the job's failure domain, although another host may have taken the same key before: the reply was lost, and the resend came here. The job then ran. Requests that are not repeatable were refused in the same way without a bundle or account.

Cause: these checks come before the ledger is asked for the key, and only refusals of the body looked at whether the request may be a resend.

Such answers now have the outcome unknown, with the code and status as before, unless the request has `auburn-first-attempt: true`, which `auburnctl` sends with new keys. Repeatable requests and requests without a key are refused as before.

--- a/node/src/main/kotlin/org/auburnlever/entry/JobService.kt
+++ b/node/src/main/kotlin/org/auburnlever/entry/JobService.kt
@@ -6,6 +6,7 @@
 import com.linecorp.armeria.common.HttpRequest
 import com.linecorp.armeria.common.HttpResponse
 import com.linecorp.armeria.common.HttpStatus
+import com.linecorp.armeria.common.RequestHeaders
 import com.linecorp.armeria.server.HttpService
 import com.linecorp.armeria.server.ServiceRequestContext
 import kotlinx.coroutines.future.await
@@ -22,7 +23,8 @@
  * Serves `POST /v1/jobs`, which submits a job, `GET /v1/jobs/{id}`, which reads it, and `DELETE /v1/jobs/{id}`, which
  * cancels it.
  *
- * New jobs are refused while [isDraining] returns true, because the host shuts down.
+ * New jobs are refused while [isDraining] returns true, because the host shuts down. The outcome is unknown instead if
+ * the key of the job may have been sent to another host before.
  */
 class JobService(
     private val context: EntryContext,
@@ -37,10 +39,13 @@
     }
 
     private suspend fun respond(jobId: String?, req: HttpRequest): HttpResponse {
-        val account = authenticator.account(req.headers())
+        val headers = req.headers()
+        val account = authenticator.account(headers)
         return when {
-            context.inForce() == null -> refusal(ErrorCode.NO_CONFIGURATION, "no bundle is in force yet")
-            account == null -> refusal(ErrorCode.UNAUTHORIZED, "a bearer token of a client account is required")
+            context.inForce() == null ->
+                notTaken(headers, ErrorCode.NO_CONFIGURATION, "no bundle is in force yet")
+            account == null ->
+                notTaken(headers, ErrorCode.UNAUTHORIZED, "a bearer token of a client account is required")
             jobId == null -> submit(account, req.aggregate().await())
             req.method() == HttpMethod.DELETE -> jobs.cancel(jobId, account.name).toHttpResponse()
             else -> jobs.read(jobId, account.name).toHttpResponse()
@@ -50,7 +55,8 @@
     private suspend fun submit(account: ClientAccount, request: AggregatedHttpRequest): HttpResponse {
         val key = request.headers().get(Headers.IDEMPOTENCY_KEY)
         return when {
-            isDraining() -> refusal(ErrorCode.SHUTTING_DOWN, "the entry host is shutting down")
+            isDraining() ->
+                notTaken(request.headers(), ErrorCode.SHUTTING_DOWN, "the entry host is shutting down")
             key == null -> refusal(ErrorCode.BAD_REQUEST, "a job needs the header ${Headers.IDEMPOTENCY_KEY}")
             else -> submit(account, RequestKey(account.name, key), request)
         }
@@ -64,11 +70,15 @@
         Codec.json.decode(JobSpec.serializer(), request.contentUtf8()).fold(
             { spec ->
                 val digest = sha256Hex(request.content().array())
-                jobs.submit(account, key, digest, spec).toHttpResponse(HttpStatus.ACCEPTED)
+                jobs.submit(account, key, digest, spec, request.headers().mayBeResend)
+                    .toHttpResponse(HttpStatus.ACCEPTED)
             },
             { refusal(ErrorCode.BAD_REQUEST, "invalid job: $it") },
         )
 
+    private fun notTaken(headers: RequestHeaders, code: ErrorCode, message: String): HttpResponse =
+        notTaken(headers.mayBeResend, code, message).toHttpResponse()
+
     private fun JobResult.toHttpResponse(status: HttpStatus = HttpStatus.OK): HttpResponse = when (this) {
         is JobResult.Found -> jsonResponse(JobView.serializer(), view, status)
         is JobResult.Error -> outcome.toHttpResponse()
--- a/node/src/main/kotlin/org/auburnlever/entry/JobSubmissions.kt
+++ b/node/src/main/kotlin/org/auburnlever/entry/JobSubmissions.kt
@@ -43,14 +43,26 @@
     private val inForce: () -> Bundle?,
     private val chooseDomain: (ClientAccount, JobSpec) -> DomainName,
 ) {
-    /** Submits a job, or returns the job that was submitted with [key] before. */
-    suspend fun submit(account: ClientAccount, key: RequestKey, bodySha256Hex: String, spec: JobSpec): JobResult {
+    /**
+     * Submits a job, or returns the job that was submitted with [key] before. If the key [mayBeResend], the job is
+     * refused only after the ledger was asked for it.
+     */
+    suspend fun submit(
+        account: ClientAccount,
+        key: RequestKey,
+        bodySha256Hex: String,
+        spec: JobSpec,
+        mayBeResend: Boolean,
+    ): JobResult {
         val bundle = inForce()
         val requestedDomain = spec.failureDomain
         return when {
-            bundle == null -> refused(ErrorCode.NO_CONFIGURATION, "no bundle is in force yet")
-            requestedDomain != null && bundle.failureDomains.none { it.name == requestedDomain } ->
-                refused(ErrorCode.BAD_REQUEST, "failureDomain $requestedDomain is not in the bundle")
+            bundle == null ->
+                JobResult.Error(notTaken(mayBeResend, ErrorCode.NO_CONFIGURATION, "no bundle is in force yet"))
+            requestedDomain != null && bundle.failureDomains.none { it.name == requestedDomain } -> {
+                val message = "failureDomain $requestedDomain is not in the bundle"
+                JobResult.Error(notTaken(mayBeResend, ErrorCode.BAD_REQUEST, message))
+            }
             else -> KeyOwnerResolver(bundle.claimDomains).owner(key).fold(
                 { owner -> claim(owner, key, bodySha256Hex, spec, requestedDomain ?: chooseDomain(account, spec)) },
                 { refused(ErrorCode.BAD_REQUEST, it.message) },
--- a/node/src/main/kotlin/org/auburnlever/entry/RequestHead.kt
+++ b/node/src/main/kotlin/org/auburnlever/entry/RequestHead.kt
@@ -6,7 +6,9 @@
 import com.github.michaelbull.result.flatMap
 import com.linecorp.armeria.common.HttpHeaderNames
 import com.linecorp.armeria.common.RequestHeaders
+import org.auburnlever.wire.ErrorCode
 import org.auburnlever.wire.Headers
+import org.auburnlever.wire.Outcome
 
 /** Options of a service request that its headers set. */
 internal data class RequestHead(
@@ -18,6 +20,17 @@
     val contentType: String,
 )
 
+/**
+ * Whether the caller may have sent the key of this request before. Then another host may have taken the request, and a
+ * host that can't look the key up must not say that it was not run.
+ */
+internal val RequestHeaders.mayBeResend: Boolean
+    get() = contains(Headers.IDEMPOTENCY_KEY) && get(Headers.FIRST_ATTEMPT) != "true"
+
+/** Returns the outcome of a request or job that this host has not taken; unknown if it [mayBeResend]. */
+internal fun notTaken(mayBeResend: Boolean, code: ErrorCode, message: String): Outcome =
+    if (mayBeResend) Outcome.Unknown(code, message) else Outcome.Refused(code, message)
+
 /** Parses the headers of a service request; the error is a message for the caller. */
 internal fun RequestHeaders.toRequestHead(timeouts: RequestTimeouts): Result<RequestHead, String> =
     flag(Headers.REPEATABLE, default = true).flatMap { repeatable ->
--- a/node/src/main/kotlin/org/auburnlever/entry/ServiceRequestService.kt
+++ b/node/src/main/kotlin/org/auburnlever/entry/ServiceRequestService.kt
@@ -3,6 +3,7 @@
 import com.github.michaelbull.result.fold
 import com.linecorp.armeria.common.HttpRequest
 import com.linecorp.armeria.common.HttpResponse
+import com.linecorp.armeria.common.RequestHeaders
 import com.linecorp.armeria.server.HttpService
 import com.linecorp.armeria.server.ServiceRequestContext
 import kotlinx.coroutines.CoroutineScope
@@ -22,6 +23,7 @@
 import org.auburnlever.peer.ServiceRequest
 import org.auburnlever.routing.KeyOwnerResolver
 import org.auburnlever.wire.ErrorCode
+import org.auburnlever.wire.Headers
 import org.auburnlever.wire.Outcome
 import java.util.UUID
 
@@ -88,8 +90,9 @@
         val bundle = context.inForce()
         val account = authenticator.account(req.headers())
         return when {
-            bundle == null -> refusal(ErrorCode.NO_CONFIGURATION, "no bundle is in force yet")
-            account == null -> refusal(ErrorCode.UNAUTHORIZED, "a bearer token of a client account is required")
+            bundle == null -> req.headers().notTaken(ErrorCode.NO_CONFIGURATION, "no bundle is in force yet")
+            account == null ->
+                req.headers().notTaken(ErrorCode.UNAUTHORIZED, "a bearer token of a client account is required")
             else -> req.headers().toRequestHead(context.timeouts).fold(
                 success = {
                     run(IncomingRequest(bundle, account, it, context.clock(), beforeDrain), ctx, req).toHttpResponse()
@@ -191,11 +194,12 @@
 
     /** Returns the outcome of a request that was not run; unknown if an earlier one with the same key may have run. */
     fun notRunOutcome(error: BodyError): Outcome =
-        if (head.repeatable || head.firstAttempt) {
-            Outcome.Refused(error.code, error.message)
-        } else {
-            Outcome.Unknown(error.code, error.message)
-        }
+        notTaken(mayBeResend = !head.repeatable && !head.firstAttempt, error.code, error.message)
+}
+
+private fun RequestHeaders.notTaken(code: ErrorCode, message: String): HttpResponse {
+    val repeatable = get(Headers.REPEATABLE) != "false"
+    return notTaken(!repeatable && mayBeResend, code, message).toHttpResponse()
 }
 
 /** Returns the outcome `unknown`, because the request may have run before this process failed or stopped. */
--- a/node/src/test/kotlin/org/auburnlever/entry/ServiceRequestServiceTest.kt
+++ b/node/src/test/kotlin/org/auburnlever/entry/ServiceRequestServiceTest.kt
@@ -10,6 +10,7 @@
 import org.auburnlever.model.ServiceName
 import org.auburnlever.wire.Headers
 import org.auburnlever.wire.Outcome
+import org.auburnlever.wire.Paths
 import java.util.concurrent.CompletableFuture
 import kotlin.concurrent.thread
 import kotlin.test.Test
@@ -81,6 +82,20 @@
         }
     }
 
+    /** Guards against the outcome `refused` for a key whose account was removed after an earlier attempt had run. */
+    @Test
+    fun `without its account a keyed request is refused only on the first attempt with its key`() {
+        withHost { host, endpoint ->
+            val path = "${Paths.SERVICES}/$TAGGING/requests"
+            val repeatable = arrayOf("authorization" to "Bearer removed", Headers.IDEMPOTENCY_KEY to "1764820800-a")
+            val keyed = arrayOf(*repeatable, Headers.REPEATABLE to "false")
+            assertEquals("unknown", host.post(path, "whale", *keyed).outcome)
+            assertEquals("refused", host.post(path, "whale", *keyed, Headers.FIRST_ATTEMPT to "true").outcome)
+            assertEquals("refused", host.post(path, "whale", *repeatable).outcome)
+            assertEquals(0, endpoint.received.size)
+        }
+    }
+
     /** Guards against a missing response when the ledger fails after the run. */
     @Test
     fun `the caller gets the response when the outcome may not be recorded`() {
