--- a/node/src/test/kotlin/org/auburnlever/transport/UnsentCallsTest.kt
+++ b/node/src/test/kotlin/org/auburnlever/transport/UnsentCallsTest.kt
@@ -185,7 +185,7 @@
         const val CALLS = 150
         const val ROUND_MILLIS = 600L
         const val MAX_TIMEOUT_MILLIS = 500L
-        const val STALLED_CALLS = 8
+        const val STALLED_CALLS = 16
         const val STALLED_CALL_MILLIS = 1_000L
         const val LARGE_CALL_INTERVAL = 8
         const val SMALL_CHARACTERS = 2_000
