Don't let polls wait while it is open whether a run has begun

By reading, only two rules stop such a run: no progress for 3.5 s, and a worker that does not list it. Neither preemption nor a new desired state does: priority and account are stored with the job, and only a lower guarantee of the account would change its standing. A run that is listed has begun, so the second rule fits. The start is lost on a worker with other work. Its time-out takes 1 s; the poll that shows that the run is not there waits up to 1.5 s for another end; so do one or two more after the stop, before the run is given up.

Polls of a worker now return at once while a run on it is not listed after its start was answered or given up, after 300 ms while a start is not answered for over 200 ms, and after the time of a stop while a run that was not listed is being stopped. What gives a run up is unchanged.

--- a/core/src/main/kotlin/org/auburnlever/workload/runs/WorkerPolling.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/runs/WorkerPolling.kt
@@ -11,10 +11,11 @@
  * Sends the polls that are due; they extend leases, counted from [confirmedMillis].
  *
  * The workers in [watched] answer sooner, since what they measure is needed more often, and so do those that drain, as
- * their leases are short.
+ * their leases are short, and those of which it is open whether a run has begun.
  */
 internal fun LeaderState.pollWorkers(confirmedMillis: Long, nowMillis: Long, watched: Set<String> = emptySet()) {
     val busy = runs.values.map { it.worker.id }.toSet()
+    val openWaits = openRunWaits(nowMillis)
     workers.values.filter { it.dueForPoll(it.ref.id in busy, limits, nowMillis) }.forEach { due ->
         val view = if (due.pollSentMillis == null) due else due.copy(failedPolls = due.failedPolls + 1)
         // The lease of a worker that does not list its runs is not extended, so that they can be recorded as lost when
@@ -30,12 +31,13 @@
         val extendedMillis = if (extends) nowMillis + limits.safeMillis(leaseMillis) else 0
         put(view.copy(pollSentMillis = nowMillis, leaseEndMillis = maxOf(view.leaseEndMillis, extendedMillis)))
         val longestWaitMillis = if (draining || view.ref.id in watched) SHORT_WAIT_MILLIS else POLL_WAIT_MILLIS
+        val openWaitMillis = openWaits[view.ref.id] ?: longestWaitMillis
         val poll = WorkerOrder.Poll(
             worker = view.ref,
             fencingToken = term,
             acknowledgedEnd = view.acknowledgedEnd,
             deadlineMillis = deadlineMillis.takeIf { extends },
-            waitMillis = if (extends && view.ref.id in busy) longestWaitMillis else 0,
+            waitMillis = if (extends && view.ref.id in busy) minOf(longestWaitMillis, openWaitMillis) else 0,
         )
         order(poll)
     }
--- a/core/src/test/kotlin/org/auburnlever/workload/CoordinatorHarness.kt
+++ b/core/src/test/kotlin/org/auburnlever/workload/CoordinatorHarness.kt
@@ -9,8 +9,10 @@
 import kotlin.test.assertNotNull
 
 /** Drives a [Coordinator] of one replica in virtual time and collects its orders and log entries. */
-internal abstract class CoordinatorHarness(private val features: Set<SchedulingFeature> = emptySet()) {
-    protected val limits = WorkloadLimits()
+internal abstract class CoordinatorHarness(
+    private val features: Set<SchedulingFeature> = emptySet(),
+    protected val limits: WorkloadLimits = WorkloadLimits(),
+) {
     protected val workload = Workload(nowMillis = 10_000).withCatalog()
     protected var coordinator = Coordinator(TERM, electedMillis = 10_000, limits, features)
         private set
