Answer requests that the HTTP server ends by what was passed on

Callers of an entry host that was stopped got 503, which promises that a job never runs, for jobs that had been passed on to the leader and ran; on other hosts their connections ended without an answer. The same held at the request timeout (15 s, reachable after a freeze of the host), and a handler that failed was answered with 500.

Cause: the server was closed with calls in progress, after a pause of 300 ms that did not hold until the close, and it chooses 503 for all requests that it ends itself. It knows nothing about the job.

RequestTracker decides in one place what is answered for a request that is ended from outside its service: 504 if it was handed on, 503 with Retry-After if not, and then it can't be handed on any more. The shutdown has phases, which ShutdownSchedule decides from the time and the requests in progress. First requests are served, and each response closes its connection, so that callers go to another host.

--- a/node/src/main/kotlin/org/auburnlever/entry/RequestInProgress.kt
+++ b/node/src/main/kotlin/org/auburnlever/entry/RequestInProgress.kt
@@ -16,12 +16,20 @@
     ENDED,
 }
 
-/** A request that a server has received and whose response has not been written; thread-safe. */
-class RequestInProgress {
+/**
+ * A request that a server has received and whose response has not been written; thread-safe.
+ *
+ * @property number numbers the requests of a server in the order of their arrival
+ */
+class RequestInProgress(internal val number: Long = 0, private val mayBeHandedOn: () -> Boolean = { true }) {
     private val current = AtomicReference(RequestProgress.RECEIVED)
 
     val progress: RequestProgress get() = current.get()
 
+    /** Whether there is a response, which may not have been written yet. */
+    @Volatile
+    internal var isAnswered: Boolean = false
+
     /** Whether the server has ended the request in place of its service, or the caller has gone. */
     @Volatile
     var isEndedEarly: Boolean = false
@@ -29,10 +37,10 @@
 
     /**
      * Records that the service is about to pass the request on. Returns false if it must not, as the request has been
-     * ended.
+     * ended or the host refuses new requests.
      */
     fun handOn(): Boolean {
-        current.compareAndSet(RequestProgress.RECEIVED, RequestProgress.HANDED_ON)
+        if (mayBeHandedOn()) current.compareAndSet(RequestProgress.RECEIVED, RequestProgress.HANDED_ON)
         return current.get() == RequestProgress.HANDED_ON
     }
 
--- a/node/src/main/kotlin/org/auburnlever/entry/RequestTracker.kt
+++ b/node/src/main/kotlin/org/auburnlever/entry/RequestTracker.kt
@@ -1,11 +1,18 @@
 package org.auburnlever.entry
 
 import com.linecorp.armeria.common.AggregatedHttpResponse
+import com.linecorp.armeria.common.ContentTooLargeException
+import com.linecorp.armeria.common.HttpHeaderNames
 import com.linecorp.armeria.common.HttpResponse
 import com.linecorp.armeria.common.HttpStatus
 import com.linecorp.armeria.common.RequestHeaders
+import com.linecorp.armeria.common.ShuttingDownException
 import com.linecorp.armeria.common.logging.RequestLog
+import com.linecorp.armeria.common.util.Exceptions
+import com.linecorp.armeria.server.HttpResponseException
 import com.linecorp.armeria.server.HttpService
+import com.linecorp.armeria.server.HttpStatusException
+import com.linecorp.armeria.server.RequestTimeoutException
 import com.linecorp.armeria.server.ServerBuilder
 import com.linecorp.armeria.server.ServerErrorHandler
 import com.linecorp.armeria.server.ServiceConfig
@@ -13,35 +20,92 @@
 import io.github.oshai.kotlinlogging.KotlinLogging
 import io.micrometer.core.instrument.MeterRegistry
 import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.atomic.AtomicLong
 
 private val logger = KotlinLogging.logger {}
 
 /**
- * Records the requests that a server ends in place of their service: at a timeout, an exception or its own close.
+ * Tracks the requests of a server until their responses have been written, and decides what is answered for those that
+ * the server ends in place of their service: at a timeout, an exception or its own close.
  *
  * The server knows nothing about a request, so that a status that it chooses itself may promise something untrue.
+ * [respond] returns the response for a request with the given headers that has ended early.
  */
-class RequestTracker(private val registry: MeterRegistry) {
+class RequestTracker(
+    private val registry: MeterRegistry,
+    private val respond: (RequestHeaders, EarlyEnd) -> HttpResponse,
+) {
     private val requests = ConcurrentHashMap<ServiceRequestContext, RequestInProgress>()
+    private val lastNumber = AtomicLong()
+
+    @Volatile
+    private var phase: ShutdownPhase? = null
 
     /** Number of requests whose responses have not been written. */
     val inProgress: Int get() = requests.size
 
-    /** Makes the server of [builder] report the requests that it ends itself. */
+    private val acceptsRequests get() = phase.let { it == null || it == ShutdownPhase.LEAVING }
+
+    /** Whether [drain] has been called. */
+    val isShuttingDown: Boolean get() = phase != null
+
+    /** Makes the server of [builder] answer for requests that it ends itself as this tracker decides. */
     fun installOn(builder: ServerBuilder) {
         builder.errorHandler(ErrorHandler().orElse(ServerErrorHandler.ofDefault()))
     }
 
     /** Returns a service that tracks the requests of [service]. */
     fun track(service: HttpService): HttpService = HttpService { context, httpRequest ->
-        val request = RequestInProgress()
+        val request = RequestInProgress(lastNumber.incrementAndGet()) { acceptsRequests }
         context.requestInProgress = request
         requests[context] = request
         context.whenRequestCancelling().thenRun { request.endEarly() }
         context.log().whenComplete().thenAccept { onComplete(context, request, it) }
-        service.serve(context, httpRequest)
+        closingConnection(context, request, service.serve(context, httpRequest))
+    }
+
+    /**
+     * Takes the server through the phases of its shutdown as [schedule] decides, and returns when it can close. Waits
+     * between its looks with [pause], and reads the time with [nowMillis].
+     */
+    fun drain(schedule: ShutdownSchedule, nowMillis: () -> Long, pause: () -> Unit) {
+        var current = ShutdownPhase.LEAVING
+        while (current != ShutdownPhase.CLOSING) {
+            enter(current)
+            pause()
+            current = schedule.next(current, nowMillis(), inProgress)
+        }
+        enter(current)
+    }
+
+    private fun enter(next: ShutdownPhase) {
+        if (phase == next) return
+        phase = next
+        logger.info { "shutdown phase $next; $inProgress requests in progress" }
+        if (next == ShutdownPhase.ENDING) requests.keys.forEach { it.cancel(ShuttingDownException.get()) }
+    }
+
+    /** Returns [response], which closes the connection if the server shuts down. */
+    private fun closingConnection(
+        context: ServiceRequestContext,
+        request: RequestInProgress,
+        response: HttpResponse,
+    ): HttpResponse = response.mapHeaders { headers ->
+        request.isAnswered = true
+        if (isShuttingDown && isLast(context, request)) {
+            headers.withMutations { it.set(HttpHeaderNames.CONNECTION, "close") }
+        } else {
+            headers
+        }
     }
 
+    /** Of pipelined requests, only the newest may close the connection, and only after the others have responses. */
+    private fun isLast(context: ServiceRequestContext, request: RequestInProgress): Boolean =
+        requests.none { (other, it) ->
+            val isBefore = it.number <= request.number && it.isAnswered
+            !isBefore && other.remoteAddress() == context.remoteAddress()
+        }
+
     private fun onComplete(context: ServiceRequestContext, request: RequestInProgress, log: RequestLog) {
         requests.remove(context)
         if (!request.isEndedEarly && log.responseCause() == null) return
@@ -65,7 +129,18 @@
 
     private inner class ErrorHandler : ServerErrorHandler {
         override fun onServiceException(context: ServiceRequestContext, cause: Throwable): HttpResponse? =
-            null.also { context.requestInProgress?.endEarly() }
+            context.requestInProgress?.let { endEarly(context, it, Exceptions.peel(cause)) }
+
+        private fun endEarly(
+            context: ServiceRequestContext,
+            request: RequestInProgress,
+            reason: Throwable,
+        ): HttpResponse? {
+            val isHandedOn = request.endEarly() == RequestProgress.HANDED_ON
+            if (!isHandedOn && reason.hasStatus()) return null
+            val response = respond(context.request().headers(), EarlyEnd(reason.toCause(), isHandedOn, "$reason"))
+            return closingConnection(context, request, response)
+        }
 
         override fun onProtocolViolation(
             config: ServiceConfig,
@@ -80,6 +155,16 @@
         }
     }
 
+    /** The request could not be read in whole or is not one of the service, and the status says so. */
+    private fun Throwable.hasStatus() =
+        this is ContentTooLargeException || this is HttpStatusException || this is HttpResponseException
+
+    private fun Throwable.toCause(): EarlyEndCause = when (this) {
+        is ShuttingDownException -> EarlyEndCause.SHUTDOWN
+        is RequestTimeoutException -> EarlyEndCause.TIMEOUT
+        else -> EarlyEndCause.FAILURE
+    }
+
     private companion object {
         const val NANOS_PER_MILLI = 1_000_000L
     }
