Move what counts as a refusal into a file of its own

FleetRefusals.kt says which answers to a call are refusals; FleetCallLog only writes. Moves code, changes none.

Measured: LeaderClientTest, LeaderlessAdmissionTest and FleetCallLogTest pass, detekt of core and node too.

--- a/node/src/main/kotlin/org/auburnlever/fleet/FleetCallLog.kt
+++ b/node/src/main/kotlin/org/auburnlever/fleet/FleetCallLog.kt
@@ -5,7 +5,6 @@
 import io.github.oshai.kotlinlogging.KotlinLogging
 import io.micrometer.core.instrument.MeterRegistry
 import org.auburnlever.host.LeaderAttempt
-import org.auburnlever.host.RefusalEvidence
 import org.auburnlever.host.SubmitError
 import org.auburnlever.workload.FleetAnswer
 import org.auburnlever.workload.FleetCall
@@ -84,17 +83,6 @@
     }
 }
 
-/** A refusal that is reported to the caller, and its [evidence]. */
-private class ReportedRefusal(val reason: String, val evidence: RefusalEvidence)
-
-private fun FleetCall.refusalIn(result: Result<FleetAnswer, SubmitError>): ReportedRefusal? = result.fold(
-    { answer ->
-        (answer as? FleetAnswer.NotAdmitted)?.takeIf { isRefusedBy(it) }
-            ?.let { ReportedRefusal(it.reason.name, RefusalEvidence.REFUSED_BY_LOG) }
-    },
-    { (it as? SubmitError.NotSubmitted)?.let { error -> ReportedRefusal("none", error.evidence) } },
-)
-
 /** Name of this kind of call in metrics and logs. */
 internal val FleetCall.kind: String
     get() = when (this) {
@@ -114,20 +102,6 @@
 private val FleetCall.subject: String?
     get() = if (this is FleetCall.SubmitJob) address.path.substringAfterLast('/') else order
 
-/**
- * Returns whether [answer] says that this call has no effect. A read has none in any case, and the answer that the job
- * to cancel does not exist is what the caller asked for.
- */
-internal fun FleetCall.isRefusedBy(answer: FleetAnswer): Boolean = answer is FleetAnswer.NotAdmitted && when {
-    isRead -> false
-    this is FleetCall.CancelJob -> answer.reason != Inadmissible.NO_JOB
-    else -> true
-}
-
-/** Whether the call changes nothing. */
-internal val FleetCall.isRead: Boolean
-    get() = this is FleetCall.ReadJob || this == FleetCall.ReadCatalog || this == FleetCall.ReadEvacuations
-
 /**
  * What an order concerns: the version of the desired state, the failure domain, the job or the worker.
  *
