Give requests that a host of the daemon ends early a true outcome

A service request, job or order that was still in progress when the daemon closed its server, or at the server's own timeout, got a response of the HTTP server, a 503 without an outcome at the close, though it had been passed on. The shutdown waited for service requests only: jobs, proposals and sign-offs in progress were cut.

They are tracked like the requests of the platform's hosts now. One that is ended after it was handed on has the outcome unknown; one that was not is refused, or unknown if it may be a resend of a request that ran. While the host shuts down, each response closes its connection, and jobs and orders in progress have until the shutdown limit to end.

The fault was found by reading; that the new tests fail before is not run.

--- a/node/src/main/kotlin/org/auburnlever/entry/EarlyEnd.kt
+++ b/node/src/main/kotlin/org/auburnlever/entry/EarlyEnd.kt
@@ -1,5 +1,11 @@
 package org.auburnlever.entry
 
+import com.linecorp.armeria.common.ContentTooLargeException
+import com.linecorp.armeria.common.ShuttingDownException
+import com.linecorp.armeria.server.HttpResponseException
+import com.linecorp.armeria.server.HttpStatusException
+import com.linecorp.armeria.server.RequestTimeoutException
+
 /** Why a server ends a request in place of its service. */
 enum class EarlyEndCause { SHUTDOWN, TIMEOUT, FAILURE }
 
@@ -11,3 +17,14 @@
  * @property detail describes the cause for the caller and the log
  */
 data class EarlyEnd(val cause: EarlyEndCause, val isHandedOn: Boolean, val detail: String)
+
+/** Returns the cause of an early end that the server reports with this exception. */
+internal fun Throwable.toEarlyEndCause(): EarlyEndCause = when (this) {
+    is ShuttingDownException -> EarlyEndCause.SHUTDOWN
+    is RequestTimeoutException -> EarlyEndCause.TIMEOUT
+    else -> EarlyEndCause.FAILURE
+}
+
+/** Whether this exception has a status that says what is wrong with a request that was not passed on. */
+internal fun Throwable.hasStatus(): Boolean =
+    this is ContentTooLargeException || this is HttpStatusException || this is HttpResponseException
--- /dev/null
+++ b/node/src/main/kotlin/org/auburnlever/entry/EarlyEndResponse.kt
@@ -0,0 +1,22 @@
+package org.auburnlever.entry
+
+import com.linecorp.armeria.common.HttpResponse
+import com.linecorp.armeria.common.RequestHeaders
+import org.auburnlever.wire.ErrorCode
+import org.auburnlever.wire.Headers
+import org.auburnlever.wire.Outcome
+
+/**
+ * Returns the response to a request with [headers] that ended without a response of its service. An earlier request
+ * with the same key may have run, so a resend that was not passed on is not refused.
+ */
+internal fun earlyEndResponse(headers: RequestHeaders, end: EarlyEnd): HttpResponse {
+    val mayBeResend = Headers.IDEMPOTENCY_KEY in headers && headers.get(Headers.FIRST_ATTEMPT) != "true"
+    val message = "the request was ended: ${end.detail}"
+    val code = when (end.cause) {
+        EarlyEndCause.SHUTDOWN, EarlyEndCause.TIMEOUT -> ErrorCode.DEADLINE_EXCEEDED
+        EarlyEndCause.FAILURE -> ErrorCode.INTERNAL
+    }
+    val isUnknown = end.isHandedOn || mayBeResend || code == ErrorCode.INTERNAL
+    return (if (isUnknown) Outcome.Unknown(code, message) else Outcome.Refused(code, message)).toHttpResponse()
+}
--- a/node/src/main/kotlin/org/auburnlever/entry/JobService.kt
+++ b/node/src/main/kotlin/org/auburnlever/entry/JobService.kt
@@ -33,25 +33,32 @@
 
     override fun serve(ctx: ServiceRequestContext, req: HttpRequest): HttpResponse {
         ctx.setMaxRequestLength(MAX_JOB_BYTES)
-        return HttpResponse.of(context.scope.future { respond(ctx.pathParam("id"), req) })
+        return HttpResponse.of(context.scope.future { respond(ctx, req) })
     }
 
-    private suspend fun respond(jobId: String?, req: HttpRequest): HttpResponse {
+    private suspend fun respond(ctx: ServiceRequestContext, req: HttpRequest): HttpResponse {
         val account = authenticator.account(req.headers())
+        val jobId = ctx.pathParam("id")
         return when {
             context.inForce() == null -> refusal(ErrorCode.NO_CONFIGURATION, "no bundle is in force yet")
             account == null -> refusal(ErrorCode.UNAUTHORIZED, "a bearer token of a client account is required")
-            jobId == null -> submit(account, req.aggregate().await())
+            jobId == null -> submit(ctx, account, req.aggregate().await())
+            ctx.requestInProgress?.handOn() == false -> ctx.notHandedOn()
             req.method() == HttpMethod.DELETE -> jobs.cancel(jobId, account.name).toHttpResponse()
             else -> jobs.read(jobId, account.name).toHttpResponse()
         }
     }
 
-    private suspend fun submit(account: ClientAccount, request: AggregatedHttpRequest): HttpResponse {
+    private suspend fun submit(
+        ctx: ServiceRequestContext,
+        account: ClientAccount,
+        request: AggregatedHttpRequest,
+    ): HttpResponse {
         val key = request.headers().get(Headers.IDEMPOTENCY_KEY)
         return when {
             isDraining() -> refusal(ErrorCode.SHUTTING_DOWN, "the entry host is shutting down")
             key == null -> refusal(ErrorCode.BAD_REQUEST, "a job needs the header ${Headers.IDEMPOTENCY_KEY}")
+            ctx.requestInProgress?.handOn() == false -> ctx.notHandedOn()
             else -> submit(account, RequestKey(account.name, key), request)
         }
     }
--- a/node/src/main/kotlin/org/auburnlever/entry/RequestInProgress.kt
+++ b/node/src/main/kotlin/org/auburnlever/entry/RequestInProgress.kt
@@ -1,5 +1,6 @@
 package org.auburnlever.entry
 
+import com.linecorp.armeria.common.HttpResponse
 import com.linecorp.armeria.server.ServiceRequestContext
 import io.netty.util.AttributeKey
 import java.util.concurrent.atomic.AtomicReference
@@ -59,5 +60,9 @@
         setAttr(REQUEST_IN_PROGRESS, request)
     }
 
+/** Returns the response to a request that must not be passed on, as the host closes or has ended it. */
+internal fun ServiceRequestContext.notHandedOn(): HttpResponse =
+    earlyEndResponse(request().headers(), EarlyEnd(EarlyEndCause.SHUTDOWN, isHandedOn = false, "the host is closing"))
+
 private val REQUEST_IN_PROGRESS: AttributeKey<RequestInProgress> =
     AttributeKey.valueOf(RequestInProgress::class.java, "request")
--- a/node/src/main/kotlin/org/auburnlever/entry/RequestTracker.kt
+++ b/node/src/main/kotlin/org/auburnlever/entry/RequestTracker.kt
@@ -1,7 +1,6 @@
 package org.auburnlever.entry
 
 import com.linecorp.armeria.common.AggregatedHttpResponse
-import com.linecorp.armeria.common.ContentTooLargeException
 import com.linecorp.armeria.common.HttpHeaderNames
 import com.linecorp.armeria.common.HttpResponse
 import com.linecorp.armeria.common.HttpStatus
@@ -9,10 +8,7 @@
 import com.linecorp.armeria.common.ShuttingDownException
 import com.linecorp.armeria.common.logging.RequestLog
 import com.linecorp.armeria.common.util.Exceptions
-import com.linecorp.armeria.server.HttpResponseException
 import com.linecorp.armeria.server.HttpService
-import com.linecorp.armeria.server.HttpStatusException
-import com.linecorp.armeria.server.RequestTimeoutException
 import com.linecorp.armeria.server.ServerBuilder
 import com.linecorp.armeria.server.ServerErrorHandler
 import com.linecorp.armeria.server.ServiceConfig
@@ -46,7 +42,7 @@
 
     private val acceptsRequests get() = phase.let { it == null || it == ShutdownPhase.LEAVING }
 
-    /** Whether [drain] has been called. */
+    /** Whether the shutdown has begun. */
     val isShuttingDown: Boolean get() = phase != null
 
     /** Makes the server of [builder] answer for requests that it ends itself as this tracker decides. */
@@ -64,6 +60,9 @@
         closingConnection(context, request, service.serve(context, httpRequest))
     }
 
+    /** Lets each response close its connection from now on. */
+    fun beginShutdown() = enter(ShutdownPhase.LEAVING)
+
     /**
      * Takes the server through the phases of its shutdown as [schedule] decides, and returns when it can close. Waits
      * between its looks with [pause], and reads the time with [nowMillis].
@@ -138,8 +137,8 @@
         ): HttpResponse? {
             val isHandedOn = request.endEarly() == RequestProgress.HANDED_ON
             if (!isHandedOn && reason.hasStatus()) return null
-            val response = respond(context.request().headers(), EarlyEnd(reason.toCause(), isHandedOn, "$reason"))
-            return closingConnection(context, request, response)
+            val end = EarlyEnd(reason.toEarlyEndCause(), isHandedOn, "$reason")
+            return closingConnection(context, request, respond(context.request().headers(), end))
         }
 
         override fun onProtocolViolation(
@@ -155,16 +154,6 @@
         }
     }
 
-    /** The request could not be read in whole or is not one of the service, and the status says so. */
-    private fun Throwable.hasStatus() =
-        this is ContentTooLargeException || this is HttpStatusException || this is HttpResponseException
-
-    private fun Throwable.toCause(): EarlyEndCause = when (this) {
-        is ShuttingDownException -> EarlyEndCause.SHUTDOWN
-        is RequestTimeoutException -> EarlyEndCause.TIMEOUT
-        else -> EarlyEndCause.FAILURE
-    }
-
     private companion object {
         const val NANOS_PER_MILLI = 1_000_000L
     }
--- a/node/src/main/kotlin/org/auburnlever/entry/ServiceRequestService.kt
+++ b/node/src/main/kotlin/org/auburnlever/entry/ServiceRequestService.kt
@@ -119,7 +119,13 @@
         ctx.setRequestTimeoutMillis(incoming.head.timeoutMillis + ANSWER_GRACE_MILLIS)
         ctx.setMaxRequestLength(limit + LENGTH_SLACK_BYTES)
         return req.readBody(limit).fold(
-            success = { run(incoming, incoming.toServiceRequest(ServiceName(ctx.pathParam("service").orEmpty()), it)) },
+            success = {
+                if (ctx.requestInProgress?.handOn() == false) {
+                    incoming.notRunOutcome(ErrorCode.SHUTTING_DOWN, "the host is closing")
+                } else {
+                    run(incoming, incoming.toServiceRequest(ServiceName(ctx.pathParam("service").orEmpty()), it))
+                }
+            },
             failure = { incoming.notRunOutcome(it) },
         )
     }
@@ -190,12 +196,11 @@
     )
 
     /** Returns the outcome of a request that was not run; unknown if an earlier one with the same key may have run. */
-    fun notRunOutcome(error: BodyError): Outcome =
-        if (head.repeatable || head.firstAttempt) {
-            Outcome.Refused(error.code, error.message)
-        } else {
-            Outcome.Unknown(error.code, error.message)
-        }
+    fun notRunOutcome(error: BodyError): Outcome = notRunOutcome(error.code, error.message)
+
+    /** As above, with the [code] and [message] of the reason. */
+    fun notRunOutcome(code: ErrorCode, message: String): Outcome =
+        if (head.repeatable || head.firstAttempt) Outcome.Refused(code, message) else Outcome.Unknown(code, message)
 }
 
 /** Returns the outcome `unknown`, because the request may have run before this process failed or stopped. */
--- a/node/src/main/kotlin/org/auburnlever/entry/SuspendingResponse.kt
+++ b/node/src/main/kotlin/org/auburnlever/entry/SuspendingResponse.kt
@@ -16,4 +16,7 @@
 internal fun ServiceRequestContext.respondToBody(
     request: HttpRequest,
     block: suspend (body: String) -> HttpResponse,
-): HttpResponse = respond { block(request.aggregate().await().contentUtf8()) }
+): HttpResponse = respond {
+    val body = request.aggregate().await().contentUtf8()
+    if (requestInProgress?.handOn() == false) notHandedOn() else block(body)
+}
--- a/node/src/main/kotlin/org/auburnlever/host/Host.kt
+++ b/node/src/main/kotlin/org/auburnlever/host/Host.kt
@@ -16,6 +16,7 @@
 import kotlinx.coroutines.runBlocking
 import org.auburnlever.consensus.ReplicaId
 import org.auburnlever.consensus.ReplicaMessage
+import org.auburnlever.entry.ShutdownSchedule
 import org.auburnlever.observe.ProcessMetrics
 import org.auburnlever.observe.Readiness
 import org.auburnlever.peer.GroupName
@@ -93,12 +94,22 @@
 
     private fun stopServing() {
         logger.info { "shutting down; requests in progress get ${settings.limits.shutdownLimitMillis} ms to end" }
+        val startMillis = clock.nowMillis()
+        components.tracker.beginShutdown()
         val left = runBlocking { components.requests.drain(settings.limits.shutdownLimitMillis) }
         if (left > 0) logger.warn { "$left requests were still in progress at the shutdown limit" }
+        components.tracker.drain(schedule(startMillis), clock::nowMillis) { Thread.sleep(SHUTDOWN_CHECK_MILLIS) }
         groups.transferLeadership()
         components.server.stop().join()
     }
 
+    /** Returns the phases after the service requests have ended, in which jobs and orders in progress end. */
+    private fun schedule(startMillis: Long): ShutdownSchedule {
+        val nowMillis = clock.nowMillis()
+        val endAtMillis = maxOf(nowMillis, startMillis + settings.limits.shutdownLimitMillis)
+        return ShutdownSchedule(nowMillis, endAtMillis, endAtMillis + FLUSH_MILLIS)
+    }
+
     private fun startServing(): Result<Unit, String> {
         val resources = HostResources(settings, registry, clock, eventLoops, scope, transport, groups, activeBundle)
         components = HostComponents(resources, ::readiness)
@@ -125,6 +136,13 @@
         eventLoops.shutdownGracefully()
     }
 
+    private companion object {
+        const val SHUTDOWN_CHECK_MILLIS = 20L
+
+        /** Time to write the responses to requests that are ended at the shutdown limit. */
+        const val FLUSH_MILLIS = 500L
+    }
+
     private inner class HostGroupContext : GroupContext {
         override fun send(group: GroupName, from: ReplicaId, to: ReplicaId, message: ReplicaMessage) =
             transport.send(to.host, PeerMessage.Consensus(group, from, to, message))
--- a/node/src/main/kotlin/org/auburnlever/host/HostComponents.kt
+++ b/node/src/main/kotlin/org/auburnlever/host/HostComponents.kt
@@ -20,6 +20,7 @@
 import org.auburnlever.entry.OperatorAccess
 import org.auburnlever.entry.ProposalService
 import org.auburnlever.entry.RequestTimeouts
+import org.auburnlever.entry.RequestTracker
 import org.auburnlever.entry.RoutingGossip
 import org.auburnlever.entry.RoutingMetrics
 import org.auburnlever.entry.ServiceRequestService
@@ -27,6 +28,7 @@
 import org.auburnlever.entry.StatusService
 import org.auburnlever.entry.StatusSources
 import org.auburnlever.entry.WorkerHeartbeatService
+import org.auburnlever.entry.earlyEndResponse
 import org.auburnlever.model.HostName
 import org.auburnlever.observe.DumpService
 import org.auburnlever.observe.HealthService
@@ -80,6 +82,9 @@
     /** The HTTP service of service requests; drained at shutdown. */
     val requests = ServiceRequestService(context, dispatcher, ledgers, metrics)
 
+    /** The requests of the HTTP server; drained at shutdown after [requests]. */
+    val tracker = RequestTracker(resources.registry, ::earlyEndResponse)
+
     /** Background tasks of the host. */
     val maintenance = HostMaintenance(resources.scope, transport, gossip, groups, settings.groups, activeBundle)
 
@@ -137,6 +142,7 @@
             metrics = MetricsService(resources.registry),
         ),
         resources.eventLoops,
+        tracker,
     )
 
     private fun entryShares(): EntryHostShares {
--- a/node/src/main/kotlin/org/auburnlever/host/HostServer.kt
+++ b/node/src/main/kotlin/org/auburnlever/host/HostServer.kt
@@ -3,11 +3,17 @@
 import com.linecorp.armeria.common.util.BlockingTaskExecutor
 import com.linecorp.armeria.server.Server
 import io.netty.channel.EventLoopGroup
+import org.auburnlever.entry.RequestTracker
 import org.auburnlever.settings.Settings
 import java.net.InetSocketAddress
 
-/** Builds the HTTP server of a host, which runs on [eventLoops]. */
-internal fun buildServer(settings: Settings, services: HostServices, eventLoops: EventLoopGroup): Server {
+/** Builds the HTTP server of a host, which runs on [eventLoops]; [requests] tracks those that may have an effect. */
+internal fun buildServer(
+    settings: Settings,
+    services: HostServices,
+    eventLoops: EventLoopGroup,
+    requests: RequestTracker,
+): Server {
     val builder = Server.builder()
         .http(InetSocketAddress(settings.httpAddress, settings.httpPort))
         .workerGroup(eventLoops, false)
@@ -15,7 +21,8 @@
         .maxNumConnections(settings.limits.maxHttpConnections)
         .requestTimeoutMillis(settings.limits.maxRequestTimeoutMillis + REQUEST_GRACE_MILLIS)
         .http2InitialConnectionWindowSize(HTTP2_WINDOW_BYTES)
-    services.routes().forEach { (route, service) -> builder.service(route, service) }
+    requests.installOn(builder)
+    services.routes(requests::track).forEach { (route, service) -> builder.service(route, service) }
     return builder.build()
 }
 
--- a/node/src/main/kotlin/org/auburnlever/host/HostServices.kt
+++ b/node/src/main/kotlin/org/auburnlever/host/HostServices.kt
@@ -33,16 +33,16 @@
     val metrics: MetricsService,
 )
 
-/** Returns the routes of all services. */
-internal fun HostServices.routes(): List<Pair<Route, HttpService>> = listOf(
-    route(HttpMethod.POST, "${Paths.SERVICES}/{service}/requests") to requests,
-    route(HttpMethod.POST, Paths.JOBS) to jobs,
-    route(HttpMethod.GET, "${Paths.JOBS}/{id}") to jobs,
-    route(HttpMethod.DELETE, "${Paths.JOBS}/{id}") to jobs,
+/** Returns the routes of all services; those whose requests are carried out once are wrapped with [track]. */
+internal fun HostServices.routes(track: (HttpService) -> HttpService): List<Pair<Route, HttpService>> = listOf(
+    route(HttpMethod.POST, "${Paths.SERVICES}/{service}/requests") to track(requests),
+    route(HttpMethod.POST, Paths.JOBS) to track(jobs),
+    route(HttpMethod.GET, "${Paths.JOBS}/{id}") to track(jobs),
+    route(HttpMethod.DELETE, "${Paths.JOBS}/{id}") to track(jobs),
     route(HttpMethod.POST, Paths.ENDPOINT_ANNOUNCE) to announcements,
     route(HttpMethod.POST, Paths.WORKER_HEARTBEAT) to heartbeats,
-    route(HttpMethod.POST, Paths.PROPOSALS) to proposals,
-    route(HttpMethod.POST, Paths.SIGN_OFFS) to signOffs,
+    route(HttpMethod.POST, Paths.PROPOSALS) to track(proposals),
+    route(HttpMethod.POST, Paths.SIGN_OFFS) to track(signOffs),
     route(HttpMethod.GET, Paths.CONFIGURATION) to configuration,
     route(HttpMethod.GET, Paths.STATUS) to status,
     route(HttpMethod.GET, ExplainService.PATTERN) to explain,
--- a/node/src/test/kotlin/org/auburnlever/entry/TestEntryHost.kt
+++ b/node/src/test/kotlin/org/auburnlever/entry/TestEntryHost.kt
@@ -89,6 +89,7 @@
     others: List<Peer> = emptyList(),
     endpoints: EndpointClient? = null,
     val clock: () -> Long = { System.nanoTime() / 1_000_000 },
+    protocol: String = "h1c",
 ) : AutoCloseable {
     val meters = SimpleMeterRegistry()
     private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
@@ -106,13 +107,15 @@
         metrics,
         bodyMemoryBytes = 15_000,
     )
+    val tracker = RequestTracker(meters, ::earlyEndResponse)
     private val server = Server.builder()
         .http(0)
-        .service("${Paths.SERVICES}/{service}/requests", service)
+        .also { tracker.installOn(it) }
+        .service("${Paths.SERVICES}/{service}/requests", tracker.track(service))
         .service(Paths.ENDPOINT_ANNOUNCE, EndpointAnnouncementService(routing, metrics, HOME) { BUNDLE })
         .build()
         .apply { start().join() }
-    private val client = WebClient.of("h1c://127.0.0.1:${server.activeLocalPort()}")
+    private val client = WebClient.of("$protocol://127.0.0.1:${server.activeLocalPort()}")
 
     fun announce(announcement: EndpointAnnouncement, token: String = PLATFORM_TOKEN): AggregatedHttpResponse =
         post(
