--- a/node/src/main/kotlin/org/auburnlever/entry/ServiceRequestService.kt
+++ b/node/src/main/kotlin/org/auburnlever/entry/ServiceRequestService.kt
@@ -122,7 +122,13 @@
         ctx.setRequestTimeoutMillis(incoming.head.timeoutMillis + ANSWER_GRACE_MILLIS)
         ctx.setMaxRequestLength(limit + LENGTH_SLACK_BYTES)
         return req.readBody(limit).fold(
-            success = { run(incoming, incoming.toServiceRequest(ServiceName(ctx.pathParam("service").orEmpty()), it)) },
+            success = {
+                if (ctx.requestInProgress?.handOn() == false) {
+                    incoming.notRunOutcome(ErrorCode.SHUTTING_DOWN, "the host is closing")
+                } else {
+                    run(incoming, incoming.toServiceRequest(ServiceName(ctx.pathParam("service").orEmpty()), it))
+                }
+            },
             failure = { incoming.notRunOutcome(it) },
         )
     }
@@ -193,8 +199,11 @@
     )
 
     /** Returns the outcome of a request that was not run; unknown if an earlier one with the same key may have run. */
-    fun notRunOutcome(error: BodyError): Outcome =
-        notTaken(mayBeResend = !head.repeatable && !head.firstAttempt, error.code, error.message)
+    fun notRunOutcome(error: BodyError): Outcome = notRunOutcome(error.code, error.message)
+
+    /** As above, with the [code] and [message] of the reason. */
+    fun notRunOutcome(code: ErrorCode, message: String): Outcome =
+        notTaken(mayBeResend = !head.repeatable && !head.firstAttempt, code, message)
 }
 
 private fun RequestHeaders.notTaken(code: ErrorCode, message: String): HttpResponse {
