Don't call a resend refused because of the load of a ledger

A caller of the product's own daemon could be told that a job was not run and never would be, and the job ran: its first attempt waited at another host for the leader of the ledger, the resend was refused as the ledger was full, and the first attempt was accepted when there was room.

JobSubmissions and KeyedRequestRunner passed on each refusal of a ledger. One for load, quota or shape depends on the moment at which it is applied and tells nothing about an earlier request with the key. For a request that may be a resend it is now reported as unknown.

--- a/node/src/main/kotlin/org/auburnlever/entry/JobSubmissions.kt
+++ b/node/src/main/kotlin/org/auburnlever/entry/JobSubmissions.kt
@@ -64,7 +64,10 @@
                 JobResult.Error(notTaken(mayBeResend, ErrorCode.BAD_REQUEST, message))
             }
             else -> KeyOwnerResolver(bundle.claimDomains).owner(key).fold(
-                { owner -> claim(owner, key, bodySha256Hex, spec, requestedDomain ?: chooseDomain(account, spec)) },
+                { owner ->
+                    val domain = requestedDomain ?: chooseDomain(account, spec)
+                    claim(owner, key, bodySha256Hex, spec, domain).forResend(mayBeResend)
+                },
                 { refused(ErrorCode.BAD_REQUEST, it.message) },
             )
         }
@@ -134,6 +137,11 @@
             JobResult.Error(Outcome.Unknown(ErrorCode.INTERNAL, "unexpected ledger reply to a job command"))
     }
 
+    private fun JobResult.forResend(mayBeResend: Boolean): JobResult = when (this) {
+        is JobResult.Found -> this
+        is JobResult.Error -> JobResult.Error(outcome.forResend(mayBeResend))
+    }
+
     private fun unreachable(error: SubmitError): JobResult = unreachable(error.message)
 
     private companion object {
--- a/node/src/main/kotlin/org/auburnlever/entry/KeyedRequestRunner.kt
+++ b/node/src/main/kotlin/org/auburnlever/entry/KeyedRequestRunner.kt
@@ -89,17 +89,17 @@
         val command = LedgerCommand.Claim(keyed.key, keyed.bodySha256Hex, purpose, keyed.claimId, host, remaining)
         val mayBeResend = seenInProgress || !keyed.firstAttempt
         return ledger.submit(keyed.owner, command, remaining).fold(
-            success = { claimResult(it, purpose) },
+            success = { claimResult(it, purpose, mayBeResend) },
             failure = { claimError(it, mayBeResend) },
         )
     }
 
-    private fun claimResult(reply: LedgerReply, purpose: ClaimPurpose): ClaimResult? {
+    private fun claimResult(reply: LedgerReply, purpose: ClaimPurpose, mayBeResend: Boolean): ClaimResult? {
         metrics.claim(reply.label)
         return when (reply) {
             is LedgerReply.ClaimGranted -> ClaimResult.Granted
             is LedgerReply.ClaimExists -> existingClaim(reply, purpose)
-            is LedgerReply.Rejected -> ClaimResult.NotGranted(reply.refusal)
+            is LedgerReply.Rejected -> ClaimResult.NotGranted(reply.refusal.forResend(mayBeResend))
             else -> unknown(ErrorCode.INTERNAL, "unexpected ledger reply to a claim")
         }
     }
--- a/node/src/test/kotlin/org/auburnlever/entry/JobSubmissionsTest.kt
+++ b/node/src/test/kotlin/org/auburnlever/entry/JobSubmissionsTest.kt
@@ -22,7 +22,6 @@
 import org.auburnlever.wire.JobSpec
 import org.auburnlever.wire.JobView
 import org.auburnlever.wire.Outcome
-import org.junit.jupiter.api.Tag
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertIs
@@ -66,7 +65,6 @@
 
     /** Guards against the outcome `refused` for a job that an earlier attempt with its key still hands in. */
     @Test
-    @Tag("known-red")
     fun `a resend is not refused by a full ledger while an earlier attempt is on its way`() = runBlocking {
         val ledger = FullLedger()
         val (first, second) = List(2) { JobSubmissions(HostName("entry-$it"), ledger, { BUNDLE }) { _, _ -> HOME } }
