Refuse what a closing host of the daemon has not passed on with shutting_down

Callers got the status 504 with the outcome refused, which reads like a time-out. A request that a closing host has not passed on has the code shutting_down (503), as one that arrives later has.

--- a/node/src/main/kotlin/org/auburnlever/entry/EarlyEndResponse.kt
+++ b/node/src/main/kotlin/org/auburnlever/entry/EarlyEndResponse.kt
@@ -12,7 +12,8 @@
 internal fun earlyEndResponse(headers: RequestHeaders, end: EarlyEnd): HttpResponse {
     val message = "the request was ended: ${end.detail}"
     val code = when (end.cause) {
-        EarlyEndCause.SHUTDOWN, EarlyEndCause.TIMEOUT -> ErrorCode.DEADLINE_EXCEEDED
+        EarlyEndCause.SHUTDOWN -> if (end.isHandedOn) ErrorCode.DEADLINE_EXCEEDED else ErrorCode.SHUTTING_DOWN
+        EarlyEndCause.TIMEOUT -> ErrorCode.DEADLINE_EXCEEDED
         EarlyEndCause.FAILURE -> ErrorCode.INTERNAL
     }
     val isUnknown = end.isHandedOn || headers.mayBeResend || code == ErrorCode.INTERNAL
--- a/node/src/test/kotlin/org/auburnlever/entry/RequestTrackerTest.kt
+++ b/node/src/test/kotlin/org/auburnlever/entry/RequestTrackerTest.kt
@@ -70,6 +70,7 @@
             earlyEndResponse(headers, end).aggregate().join().outcome
         }
         assertEquals(listOf<String?>("refused", "unknown", "refused"), outcomes)
+        assertEquals(503, earlyEndResponse(plain, end).aggregate().join().status().code())
         val handedOn = earlyEndResponse(first, end.copy(isHandedOn = true)).aggregate().join()
         assertEquals("unknown", handedOn.outcome)
     }
