--- a/node/src/main/kotlin/org/auburnlever/host/CallEvidence.kt
+++ b/node/src/main/kotlin/org/auburnlever/host/CallEvidence.kt
@@ -11,7 +11,7 @@
  * It alone decides whether a refusal may be reported: not after an attempt that may have taken effect, since a later
  * attempt is decided for itself, with a configuration and a load that may have changed in between.
  *
- * @property hasEffect false for a read that is reported as refused although a reply was lost
+ * @property hasEffect whether the call can have an effect; a read without an answer may be reported as not submitted
  */
 internal data class CallEvidence(
     private val group: GroupName,
