Refuse a resend of a job that no worker can hold

It can't be served, so its caller has to learn so at once; only refusals for load and quota pass with time.

--- a/node/src/main/kotlin/org/auburnlever/entry/RequestHead.kt
+++ b/node/src/main/kotlin/org/auburnlever/entry/RequestHead.kt
@@ -32,13 +32,13 @@
     if (mayBeResend) Outcome.Unknown(code, message) else Outcome.Refused(code, message)
 
 /**
- * Returns this outcome of a ledger for a request that [mayBeResend]. A refusal for load or configuration tells nothing
- * about an earlier request with the same key, which another host may still hand to the ledger.
+ * Returns this outcome of a ledger for a request that [mayBeResend]. A refusal for load or quota tells nothing about
+ * an earlier request with the same key, which another host may still hand to the ledger.
  */
 internal fun Outcome.forResend(mayBeResend: Boolean): Outcome =
     if (mayBeResend && this is Outcome.Refused && code in PASSING_REFUSALS) Outcome.Unknown(code, message) else this
 
-private val PASSING_REFUSALS = setOf(ErrorCode.OVERLOADED, ErrorCode.OVER_QUOTA, ErrorCode.IMPOSSIBLE_SHAPE)
+private val PASSING_REFUSALS = setOf(ErrorCode.OVERLOADED, ErrorCode.OVER_QUOTA)
 
 /** Parses the headers of a service request; the error is a message for the caller. */
 internal fun RequestHeaders.toRequestHead(timeouts: RequestTimeouts): Result<RequestHead, String> =
