Log who made a worker look restarted, and on what evidence

A restart of a worker and a report of another writer left the same line, worker_joined, and task_lost did not tell how long the lease had to run. The lines now name the sender of the report, what was known of the worker before, the start of the incarnation, the order that was answered by another worker and its age, and what was left of the lease.

--- a/core/src/main/kotlin/org/auburnlever/workload/Coordinator.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/Coordinator.kt
@@ -107,7 +107,7 @@
         sentMillis: Long,
         nowMillis: Long,
     ): List<CoordinatorEffect> = leader.collect {
-        updateReachability(order.worker, answer, nowMillis)
+        updateReachability(order, answer, sentMillis, nowMillis)
         when (order) {
             is WorkerOrder.Start -> handleStartAnswer(order, answer, nowMillis)
             is WorkerOrder.Stop -> handleStopAnswer(order, answer, nowMillis)
--- a/core/src/main/kotlin/org/auburnlever/workload/runs/LostRuns.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/runs/LostRuns.kt
@@ -23,7 +23,10 @@
             it.run.toString(),
             "worker" to it.view.worker.id,
             "reason" to it.loss,
+            "bornMillis" to it.view.worker.startMillis,
+            "listedAgoMillis" to it.view.listedMillis?.let { listedMillis -> nowMillis - listedMillis },
             "listedForMillis" to it.view.listedForMillis,
+            "leaseLeftMillis" to workers[it.view.worker.id]?.let { worker -> worker.leaseEndMillis - nowMillis },
             "crash" to it.crash,
         )
     }
--- a/core/src/main/kotlin/org/auburnlever/workload/runs/WorkerOrder.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/runs/WorkerOrder.kt
@@ -49,6 +49,15 @@
     ) : WorkerOrder
 }
 
+/** Name of the kind of an order in logs. */
+internal val WorkerOrder.kind: String
+    get() = when (this) {
+        is WorkerOrder.Start -> "start"
+        is WorkerOrder.Stop -> "stop"
+        is WorkerOrder.Pace -> "pace"
+        is WorkerOrder.Poll -> "poll"
+    }
+
 /** A worker's answer to an order. */
 sealed interface OrderAnswer {
     /** The order was carried out; the worker's clock showed [clockMillis]. */
--- a/core/src/main/kotlin/org/auburnlever/workload/runs/WorkerPolling.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/runs/WorkerPolling.kt
@@ -90,7 +90,13 @@
     if (known == null || known.ref.startMillis < workerStartMillis) {
         put(freshView(expected.copy(startMillis = workerStartMillis)))
     }
-    logDecision("worker_reborn", expected.id, "bornMillis" to workerStartMillis)
+    logDecision(
+        "worker_reborn",
+        expected.id,
+        "bornMillis" to workerStartMillis,
+        "knownBornMillis" to known?.ref?.startMillis,
+        "address" to expected.address,
+    )
     return true
 }
 
--- a/core/src/main/kotlin/org/auburnlever/workload/runs/WorkerReports.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/runs/WorkerReports.kt
@@ -4,7 +4,6 @@
 import org.auburnlever.workload.state.EndKind
 import org.auburnlever.workload.state.RunEnd
 import org.auburnlever.workload.state.TaskRun
-import org.auburnlever.workload.state.WorkerRef
 import org.auburnlever.workload.state.WorkloadState
 
 /** Stores a worker's report unless a newer one is known. */
@@ -24,7 +23,7 @@
             refusesConnections = base.refusesConnections && base.ref.address == report.ref.address,
         ).withClock(report.clockMillis, nowMillis),
     )
-    if (newIncarnation || report.draining != wasDraining) logReport(report, newIncarnation)
+    if (newIncarnation || report.draining != wasDraining) logReport(report, known, newIncarnation)
 }
 
 /**
@@ -45,11 +44,17 @@
 }
 
 /**
- * Updates from [answer] whether the worker [ref] can be reached, and what its clock shows.
+ * Updates from [answer] to [order] whether its worker can be reached, and what its clock shows.
  *
  * Who answers or refuses connections at a former address of the worker says nothing about it.
  */
-internal fun LeaderState.updateReachability(ref: WorkerRef, answer: OrderAnswer, nowMillis: Long) {
+internal fun LeaderState.updateReachability(
+    order: WorkerOrder,
+    answer: OrderAnswer,
+    sentMillis: Long,
+    nowMillis: Long,
+) {
+    val ref = order.worker
     val known = viewOf(ref)?.takeIf { it.ref.address == ref.address } ?: return
     val updated = when (answer) {
         is OrderAnswer.Done -> known.withContact(answer.clockMillis, nowMillis)
@@ -61,10 +66,17 @@
             known.copy(failedCalls = known.failedCalls + 1, refusesConnections = answer.connectionRefused)
     }
     if (known.failedCalls == 0 && updated.failedCalls > 0) {
-        logDecision("worker_unreachable", ref.id, "error" to "$answer")
+        logDecision("worker_unreachable", ref.id, "error" to "$answer", "order" to order.kind)
     }
     if (updated.replaced && !known.replaced) {
-        logDecision("worker_replaced", ref.id, "address" to ref.address, "failedCalls" to updated.failedCalls)
+        logDecision(
+            "worker_replaced",
+            ref.id,
+            "address" to ref.address,
+            "failedCalls" to updated.failedCalls,
+            "order" to order.kind,
+            "sentAgoMillis" to nowMillis - sentMillis,
+        )
     }
     if (known.failedCalls > 0 && updated.failedCalls == 0) logDecision("worker_reachable", ref.id)
     put(updated)
@@ -106,12 +118,19 @@
     return view.copy(suspendedUntilMillis = untilMillis, suspensions = view.suspensions + 1)
 }
 
-private fun LeaderState.logReport(report: WorkerReport, newIncarnation: Boolean) = logDecision(
+/** Logs what [report] changes and what was [known] before, so that a restart can be told from a false report. */
+private fun LeaderState.logReport(report: WorkerReport, known: WorkerView?, newIncarnation: Boolean) = logDecision(
     if (newIncarnation) "worker_joined" else "worker_state",
     report.ref.id,
     "address" to report.ref.address,
+    "bornMillis" to report.ref.startMillis,
     "draining" to report.draining,
     "sequence" to report.sequence,
+    "sender" to report.sender,
+    "knownAddress" to known?.ref?.address,
+    "knownBornMillis" to known?.ref?.startMillis,
+    "knownSequence" to known?.report?.sequence,
+    "runs" to known?.let { view -> runs.values.count { it.worker == view.ref } },
 )
 
 private fun WorkerView.isNewerThan(report: WorkerReport): Boolean {
--- a/core/src/main/kotlin/org/auburnlever/workload/runs/WorkerView.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/runs/WorkerView.kt
@@ -13,6 +13,7 @@
  * @property sequence increases with each report of an incarnation, so that late reports can be detected
  * @property clockMillis the worker's own monotonic clock
  * @property labels kind and rack, in this order
+ * @property sender address from which a host received the report; empty if it is not known
  */
 @Serializable
 data class WorkerReport(
@@ -24,6 +25,7 @@
     val labels: List<String>,
     val clockMillis: Long,
     val sequence: Long,
+    val sender: String = "",
 ) {
     /** The label that names the rack; empty if the worker reports none. */
     val rack: String get() = labels.getOrElse(1) { "" }
--- a/node/src/main/kotlin/org/auburnlever/fleet/WorkloadLeader.kt
+++ b/node/src/main/kotlin/org/auburnlever/fleet/WorkloadLeader.kt
@@ -173,6 +173,11 @@
 }
 
 private fun ignoredEntry(report: WorkerReport): CoordinatorEffect {
-    val details = mapOf("service" to report.service, "address" to report.ref.address, "reason" to "unknown service")
+    val details = mapOf(
+        "service" to report.service,
+        "address" to report.ref.address,
+        "sender" to report.sender,
+        "reason" to "unknown service",
+    )
     return CoordinatorEffect.Log(DecisionLogEntry("report_ignored", report.ref.id, details))
 }
