Believe a restart of a worker only when the worker has answered

Callers saw tasks run on two workers at once. A report with a known service and a later start was taken for a restart, whoever had written it, and all runs of the worker were given up at once and without a stop. The report also moved the worker's address, clock and sequence, so that the true reports were ignored and the leases followed a false clock.

A report that names another incarnation or address is now a claim: it changes nothing until the worker at that address has listed its runs as that incarnation, which takes one round trip. Lists of an incarnation other than the polled one are not read. Clocks come from answers; a report can raise the estimate only to what a clock without lag shows, and leases count that error. Another worker has to answer twice in a row before one counts as replaced, the second time to a later order.

--- a/core/src/main/kotlin/org/auburnlever/workload/Coordinator.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/Coordinator.kt
@@ -34,6 +34,7 @@
 import org.auburnlever.workload.runs.WorkerOrder
 import org.auburnlever.workload.runs.WorkerReport
 import org.auburnlever.workload.runs.adoptRuns
+import org.auburnlever.workload.runs.askForClaims
 import org.auburnlever.workload.runs.forgetEndedRuns
 import org.auburnlever.workload.runs.handleEndsNotRecorded
 import org.auburnlever.workload.runs.handleEndsRecorded
@@ -50,6 +51,7 @@
 import org.auburnlever.workload.runs.stop
 import org.auburnlever.workload.runs.stopUnwantedRuns
 import org.auburnlever.workload.runs.updateReachability
+import org.auburnlever.workload.runs.withholdFromRestarted
 import org.auburnlever.workload.sharing.LeaderShares
 import org.auburnlever.workload.state.JobAddress
 import org.auburnlever.workload.state.JobSpec
@@ -142,7 +144,8 @@
                 assigning = false
                 val runs = (reply as? WorkloadReply.Assigned)?.runs.orEmpty()
                 if (isConfirmed(confirmedMillis, nowMillis)) {
-                    withholdEvacuated(state, runs).forEach { start(state, it, confirmedMillis, nowMillis) }
+                    withholdEvacuated(state, withholdFromRestarted(state, runs))
+                        .forEach { start(state, it, confirmedMillis, nowMillis) }
                 } else {
                     logDecision("starts_withheld", "${runs.size}", "confirmedAgoMillis" to nowMillis - confirmedMillis)
                 }
@@ -195,6 +198,7 @@
             stopUnwantedRuns(state, nowMillis)
             handleStalledRuns(state, nowMillis, protectedRuns(state, handlesInterference, nowMillis))
             pollWorkers(confirmedMillis, nowMillis, watchedWorkers(interference))
+            askForClaims(nowMillis)
         }
         recordLostRuns(nowMillis)
         if (leadershipConfirmed && !assigning && nowMillis >= nextPlanMillis) plan(state, nowMillis)
--- a/core/src/main/kotlin/org/auburnlever/workload/evacuation/StartingWorkers.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/evacuation/StartingWorkers.kt
@@ -3,8 +3,7 @@
 import org.auburnlever.workload.planning.RunProgress
 import org.auburnlever.workload.runs.LeaderState
 import org.auburnlever.workload.runs.WorkerView
-import org.auburnlever.workload.state.EndKind
-import org.auburnlever.workload.state.RunEnd
+import org.auburnlever.workload.runs.withhold
 import org.auburnlever.workload.state.TaskRun
 import org.auburnlever.workload.state.WorkloadState
 
@@ -36,7 +35,10 @@
     progress: Map<TaskRun, RunProgress>,
     nowMillis: Long,
 ): List<WorkerView> {
-    val usable = workers.values.filter { it.usable(nowMillis, limits.reportLimitMillis) && !state.forbidsStartsOn(it) }
+    // Before a worker has shown its clock, no lease can be computed for it.
+    val usable = workers.values.filter {
+        it.clock.isKnown && it.usable(nowMillis, limits.reportLimitMillis) && !state.forbidsStartsOn(it)
+    }
     return WorkerWarmUp(state, progress, nowMillis).limit(usable)
 }
 
@@ -48,18 +50,11 @@
  */
 internal fun LeaderState.withholdEvacuated(state: WorkloadState, runs: List<TaskRun>): List<TaskRun> {
     if (state.evacuations.isEmpty()) return runs
-    val forbidden = runs.filter { run ->
-        state.task(run.task)?.worker?.let { state.forbidsStartsOn(workers[it.id]) } ?: false
-    }.toSet()
-    val brokenGangs = forbidden.map { it.task.stepId }.filter { id ->
-        state.jobs[id.job]?.spec?.steps?.get(id.step)?.gang ?: false
-    }.toSet()
-    val (withheld, allowed) = runs.partition { it in forbidden || it.task.stepId in brokenGangs }
-    withheld.forEach { run ->
-        val worker = state.task(run.task)?.worker?.id
-        val domain = worker?.let { workers[it]?.report?.failureDomain }
-        logDecision("evacuation_withheld", run.toString(), "worker" to worker, "failureDomain" to "$domain")
-    }
-    if (withheld.isNotEmpty()) recordEnds(withheld.map { RunEnd(it, EndKind.LOST, checkpoint = "", unseen = true) })
-    return allowed
+    return withhold(
+        state,
+        runs,
+        "evacuation_withheld",
+        forbidden = { state.forbidsStartsOn(workers[it.id]) },
+        details = { ref -> "failureDomain" to "${ref?.let { workers[it.id]?.report?.failureDomain }}" },
+    )
 }
--- a/core/src/main/kotlin/org/auburnlever/workload/runs/RunOrders.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/runs/RunOrders.kt
@@ -18,10 +18,9 @@
     if (job == null || task == null || ref == null) return
     val view = workers[ref.id] ?: freshView(ref)
     put(run, RunView(ref, answeredMillis = null, progressMillis = nowMillis, startedMillis = nowMillis))
-    // The worker grants its longest lease if the deadline was computed without its clock.
-    val leaseMillis = if (view.clockReadMillis > 0) limits.leaseSafeMillis else limits.longestLeaseSafeMillis
+    val leaseMillis = limits.safeMillis(limits.leaseMillis, view.clock.errorMillis(nowMillis))
     put(view.copy(leaseEndMillis = maxOf(view.leaseEndMillis, nowMillis + leaseMillis)))
-    val deadlineMillis = view.clockNowMillis(nowMillis) + limits.leaseMillis - (nowMillis - confirmedMillis)
+    val deadlineMillis = view.clock.nowMillis(nowMillis) + limits.leaseMillis - (nowMillis - confirmedMillis)
     order(WorkerOrder.Start(ref, term, run, job.spec.payload, task.checkpoint, deadlineMillis))
     awaitStart(run, ref, nowMillis)
     logDecision(
@@ -68,7 +67,7 @@
  * A later incarnation at the same address answers too and does not identify itself, but its clock has restarted.
  */
 private fun WorkerView?.isSameIncarnation(expected: WorkerRef, answer: OrderAnswer.Done): Boolean =
-    this != null && ref == expected && answer.clockMillis >= clockMillis
+    this != null && ref == expected && clock.permits(answer.clockMillis)
 
 /**
  * Orders [run] to stop for [reason], unless an order was sent less than [STOP_REPEAT_MILLIS] ago.
--- a/core/src/main/kotlin/org/auburnlever/workload/runs/WorkerLoss.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/runs/WorkerLoss.kt
@@ -7,13 +7,14 @@
  *
  * Only a sign that excludes a running process is one. Others don't count, as a worker that is cut off shows them too
  * and works on until its lease expires: an announced shutdown, whose acknowledgement may be lost; a call that times
- * out; a connection that is closed or reset; reports that don't come.
+ * out; a connection that is closed or reset; reports that don't come. Nor does a report of a later
+ * incarnation, which anyone can write.
  */
 internal enum class WorkerLoss {
-    /** A later incarnation has started under the worker's id. */
+    /** A later incarnation has answered under the worker's id. */
     RESTARTED,
 
-    /** Another worker answers at its address. */
+    /** Another worker has answered at its address, twice in a row. */
     REPLACED,
 
     /** It was to shut down, and nothing listens at its address. */
@@ -31,7 +32,7 @@
 internal fun WorkerView.lossOf(ref: WorkerRef, nowMillis: Long): WorkerLoss? = when {
     this.ref.startMillis > ref.startMillis -> WorkerLoss.RESTARTED
     replaced -> WorkerLoss.REPLACED
-    shuttingDown && refusesConnections -> WorkerLoss.LEFT
+    (departureMillis != null || report?.draining == true) && refusesConnections -> WorkerLoss.LEFT
     nowMillis >= leaseEndMillis -> WorkerLoss.LEASE_EXPIRED
     else -> null
 }
--- a/core/src/main/kotlin/org/auburnlever/workload/runs/WorkerPolling.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/runs/WorkerPolling.kt
@@ -1,8 +1,6 @@
 package org.auburnlever.workload.runs
 
 import org.auburnlever.workload.WorkloadLimits
-import org.auburnlever.workload.state.EndKind
-import org.auburnlever.workload.state.RunEnd
 import org.auburnlever.workload.state.TaskPhase
 import org.auburnlever.workload.state.WorkerRef
 import org.auburnlever.workload.state.WorkloadState
@@ -22,13 +20,14 @@
         // it expires. Nor is that of a worker that has announced its shutdown, as nothing else may show its end; nor is
         // it while the worker's clock is unknown: too late a deadline would give it the longest lease that it grants.
         val answers = view.failedCalls == 0 && view.failedPolls == 0
-        val extends = answers && !view.departed && view.clockReadMillis > 0
+        val extends = answers && !view.departed && view.clock.isKnown
         val ageMillis = nowMillis - confirmedMillis
         val draining = view.report?.draining == true
         val leaseMillis = if (draining) limits.drainingLeaseMillis else limits.leaseMillis
-        val deadlineMillis = view.clockNowMillis(nowMillis) + leaseMillis - ageMillis
+        val deadlineMillis = view.clock.nowMillis(nowMillis) + leaseMillis - ageMillis
         // A deadline never shortens a lease, and an earlier order may have given a longer one.
-        val extendedMillis = if (extends) nowMillis + limits.safeMillis(leaseMillis) else 0
+        val safeMillis = limits.safeMillis(leaseMillis, view.clock.errorMillis(nowMillis))
+        val extendedMillis = if (extends) nowMillis + safeMillis else 0
         put(view.copy(pollSentMillis = nowMillis, leaseEndMillis = maxOf(view.leaseEndMillis, extendedMillis)))
         val longestWaitMillis = if (draining || view.ref.id in watched) SHORT_WAIT_MILLIS else POLL_WAIT_MILLIS
         val openWaitMillis = openWaits[view.ref.id] ?: longestWaitMillis
@@ -61,43 +60,59 @@
     sentMillis: Long,
     nowMillis: Long,
 ) {
-    val newIncarnation = answer is OrderAnswer.Listed && detectNewIncarnation(order.worker, answer.workerStartMillis)
-    val view = viewOf(order.worker) ?: return
-    val delayMillis = if (answer is OrderAnswer.Listed) 0 else FAILED_POLL_DELAY_MILLIS
-    val failedPolls = if (answer is OrderAnswer.Listed) 0 else view.failedPolls + 1
+    if (handleClaimAnswer(state, order, answer, sentMillis, nowMillis)) return
+    val view = workers[order.worker.id]?.takeIf { it.ref == order.worker } ?: return
+    val listed = answer.takeIf { it.isListOf(order.worker) } as? OrderAnswer.Listed
+    val confirmsReplacement = answer == OrderAnswer.OtherIncarnation && !view.replaced
+    val delayMillis = if (listed != null || confirmsReplacement) 0 else FAILED_POLL_DELAY_MILLIS
+    val failedPolls = if (listed != null) 0 else view.failedPolls + 1
     put(view.copy(pollSentMillis = null, nextPollMillis = nowMillis + delayMillis, failedPolls = failedPolls))
-    if (answer is OrderAnswer.Listed && !newIncarnation) {
-        confirmAcknowledgedEnds(order)
-        settleStarts(answer)
-        recordListedEnds(state, order.worker, answer, nowMillis)
-        handleActiveRuns(state, order.worker, answer, nowMillis)
-        if (answer.complete) {
-            handleMissingRuns(order.worker, answer, sentMillis, nowMillis)
-        } else {
-            logDecision("list_unreadable", order.worker.id, "readableRuns" to answer.active.size)
-        }
+    if (listed != null) {
+        handleList(state, order, listed, sentMillis, nowMillis)
+    } else if (answer is OrderAnswer.Listed) {
+        handleOtherIncarnation(order.worker, answer)
+    }
+}
+
+/** Returns whether the answer is a list of the incarnation [expected]. */
+internal fun OrderAnswer.isListOf(expected: WorkerRef): Boolean =
+    this is OrderAnswer.Listed && (workerStartMillis == null || workerStartMillis == expected.startMillis)
+
+/** Handles what the worker of [order] lists, which was asked for at [sentMillis]. */
+internal fun LeaderState.handleList(
+    state: WorkloadState,
+    order: WorkerOrder.Poll,
+    listed: OrderAnswer.Listed,
+    sentMillis: Long,
+    nowMillis: Long,
+) {
+    confirmAcknowledgedEnds(order)
+    settleStarts(listed)
+    recordListedEnds(state, order.worker, listed, nowMillis)
+    handleActiveRuns(state, order.worker, listed, nowMillis)
+    if (listed.complete) {
+        handleMissingRuns(order.worker, listed, sentMillis, nowMillis)
+    } else {
+        logDecision("list_unreadable", order.worker.id, "readableRuns" to listed.active.size)
     }
 }
 
 /**
- * Returns whether a later incarnation of the worker than [expected] has answered, and records that incarnation.
+ * Handles a list of another incarnation than [expected], which is known of the worker.
  *
- * Its lists start from scratch, so they must not be read as lists of the earlier incarnation.
+ * The lists of a later one start from scratch, so they must not be read as those of [expected]; an earlier one is over.
  */
-private fun LeaderState.detectNewIncarnation(expected: WorkerRef, workerStartMillis: Long?): Boolean {
-    if (workerStartMillis == null || workerStartMillis <= expected.startMillis) return false
-    val known = workers[expected.id]
-    if (known == null || known.ref.startMillis < workerStartMillis) {
-        put(freshView(expected.copy(startMillis = workerStartMillis)))
-    }
+private fun LeaderState.handleOtherIncarnation(expected: WorkerRef, listed: OrderAnswer.Listed) {
+    val startMillis = listed.workerStartMillis ?: return
+    val isLater = startMillis > expected.startMillis
+    if (isLater) put(freshView(expected.copy(startMillis = startMillis)))
     logDecision(
-        "worker_reborn",
+        if (isLater) "worker_reborn" else "list_of_earlier_incarnation",
         expected.id,
-        "bornMillis" to workerStartMillis,
-        "knownBornMillis" to known?.ref?.startMillis,
+        "bornMillis" to startMillis,
+        "knownBornMillis" to expected.startMillis,
         "address" to expected.address,
     )
-    return true
 }
 
 private fun LeaderState.confirmAcknowledgedEnds(order: WorkerOrder.Poll) {
@@ -150,37 +165,6 @@
     figure = active.figure,
 )
 
-/**
- * Stops runs that a poll did not list although their start was answered before it, and then records them as lost.
- *
- * A run whose stop is never confirmed is recorded as lost once its start can't be carried out any more.
- */
-private fun LeaderState.handleMissingRuns(
-    ref: WorkerRef,
-    listed: OrderAnswer.Listed,
-    sentMillis: Long,
-    nowMillis: Long,
-) {
-    val listedRuns = listed.active.map { it.run }.toSet() + listed.ended.map { it.end.run }
-    val missing = runs.filter { (run, view) ->
-        val answeredMillis = view.answeredMillis ?: (view.startedMillis + LOST_ANSWER_MILLIS)
-        view.worker.id == ref.id && run !in listedRuns && answeredMillis < sentMillis
-    }
-    missing.forEach { (run, view) ->
-        // While a run is being stopped it is not listed, but uses resources until its end is listed.
-        val stopped = view.stopAnsweredMillis.let { it != null && it + limits.stopSafeMillis < sentMillis }
-        // A start that was sent before the run was first missing has expired by then.
-        val expired = view.missingSinceMillis.let { it != null && nowMillis - it >= limits.longestLeaseSafeMillis }
-        if (stopped || expired) {
-            recordEnds(listOf(RunEnd(run, EndKind.LOST, view.checkpoint, view.crash, view.unseen)))
-            logDecision("task_lost", run.toString(), "worker" to ref.id, "reason" to "not listed", "stopped" to stopped)
-        } else {
-            put(run, view.copy(missingSinceMillis = view.missingSinceMillis ?: nowMillis))
-            stop(run, view, StopReason.NotListed, nowMillis)
-        }
-    }
-}
-
 /** Time that a poll waits for an end; three polls fit into a lease. */
 private const val POLL_WAIT_MILLIS = 1_500L
 
@@ -189,4 +173,4 @@
 private const val FAILED_POLL_DELAY_MILLIS = 300L
 
 /** Time after which no answer comes any more; the driver gives up an order in less than half of it. */
-private const val LOST_ANSWER_MILLIS = 6_000L
+internal const val LOST_ANSWER_MILLIS = 6_000L
--- a/core/src/main/kotlin/org/auburnlever/workload/runs/WorkerReports.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/runs/WorkerReports.kt
@@ -4,26 +4,58 @@
 import org.auburnlever.workload.state.EndKind
 import org.auburnlever.workload.state.RunEnd
 import org.auburnlever.workload.state.TaskRun
+import org.auburnlever.workload.state.WorkerRef
 import org.auburnlever.workload.state.WorkloadState
 
-/** Stores a worker's report unless a newer one is known. */
+/**
+ * Stores a worker's report unless a newer one is known.
+ *
+ * A report of another incarnation or address than the known one is only a claim until the worker has answered.
+ */
 internal fun LeaderState.handleReport(report: WorkerReport, nowMillis: Long) {
     val known = workers[report.ref.id]
-    if (known != null && known.isNewerThan(report)) return
-    val newIncarnation = known == null || known.ref.startMillis != report.ref.startMillis
-    val base = if (known == null || newIncarnation) freshView(report.ref) else known
-    val wasDraining = known?.report?.draining ?: false
+    when {
+        known?.ref == report.ref -> handleNextReport(known, report, nowMillis)
+        known != null && known.ref.startMillis > report.ref.startMillis -> Unit
+        else -> claim(report, nowMillis)
+    }
+}
+
+private fun LeaderState.handleNextReport(known: WorkerView, report: WorkerReport, nowMillis: Long) {
+    // The incarnation may be known from an answer or an assignment before its first report.
+    if (known.report != null && known.report.sequence >= report.sequence) return
     put(
-        base.copy(
-            ref = report.ref,
+        known.copy(
             report = report,
             lastContactMillis = nowMillis,
+            clock = known.clock.withReport(report.clockMillis, nowMillis),
             departureMillis = null,
+            otherAnswerMillis = null,
+            replaced = false,
+        ),
+    )
+    if (report.draining != (known.report?.draining ?: false)) logReport("worker_state", report, known)
+}
+
+/** Takes the worker [ref], which has [listed] its runs, into the fleet, or its new address; [report] may be missing. */
+internal fun LeaderState.join(ref: WorkerRef, report: WorkerReport?, listed: OrderAnswer.Listed, nowMillis: Long) {
+    val known = workers[ref.id]
+    val base = known?.takeIf { it.ref.startMillis == ref.startMillis } ?: freshView(ref)
+    put(
+        base.copy(
+            ref = ref,
+            report = report ?: base.report,
+            lastContactMillis = nowMillis,
+            clock = base.clock.withAnswer(listed.clockMillis, nowMillis),
+            pollSentMillis = null,
+            failedCalls = 0,
+            failedPolls = 0,
+            refusesConnections = false,
+            otherAnswerMillis = null,
             replaced = false,
-            refusesConnections = base.refusesConnections && base.ref.address == report.ref.address,
-        ).withClock(report.clockMillis, nowMillis),
+        ),
     )
-    if (newIncarnation || report.draining != wasDraining) logReport(report, known, newIncarnation)
+    if (report != null) logReport("worker_joined", report, known)
 }
 
 /**
@@ -43,45 +75,6 @@
     logDecision("worker_left", workerId)
 }
 
-/**
- * Updates from [answer] to [order] whether its worker can be reached, and what its clock shows.
- *
- * Who answers or refuses connections at a former address of the worker says nothing about it.
- */
-internal fun LeaderState.updateReachability(
-    order: WorkerOrder,
-    answer: OrderAnswer,
-    sentMillis: Long,
-    nowMillis: Long,
-) {
-    val ref = order.worker
-    val known = viewOf(ref)?.takeIf { it.ref.address == ref.address } ?: return
-    val updated = when (answer) {
-        is OrderAnswer.Done -> known.withContact(answer.clockMillis, nowMillis)
-        is OrderAnswer.Listed -> known.withContact(answer.clockMillis, nowMillis)
-        is OrderAnswer.Refused ->
-            known.copy(lastContactMillis = nowMillis, failedCalls = 0, refusesConnections = false)
-        OrderAnswer.OtherIncarnation -> known.copy(replaced = true, failedCalls = known.failedCalls + 1)
-        is OrderAnswer.Unknown ->
-            known.copy(failedCalls = known.failedCalls + 1, refusesConnections = answer.connectionRefused)
-    }
-    if (known.failedCalls == 0 && updated.failedCalls > 0) {
-        logDecision("worker_unreachable", ref.id, "error" to "$answer", "order" to order.kind)
-    }
-    if (updated.replaced && !known.replaced) {
-        logDecision(
-            "worker_replaced",
-            ref.id,
-            "address" to ref.address,
-            "failedCalls" to updated.failedCalls,
-            "order" to order.kind,
-            "sentAgoMillis" to nowMillis - sentMillis,
-        )
-    }
-    if (known.failedCalls > 0 && updated.failedCalls == 0) logDecision("worker_reachable", ref.id)
-    put(updated)
-}
-
 /**
  * Counts failed jobs and suspends a worker on which two jobs failed without a success in between.
  *
@@ -118,9 +111,9 @@
     return view.copy(suspendedUntilMillis = untilMillis, suspensions = view.suspensions + 1)
 }
 
-/** Logs what [report] changes and what was [known] before, so that a restart can be told from a false report. */
-private fun LeaderState.logReport(report: WorkerReport, known: WorkerView?, newIncarnation: Boolean) = logDecision(
-    if (newIncarnation) "worker_joined" else "worker_state",
+/** Logs what [report] changes or claims and what was [known] before, to tell a restart from a false report. */
+internal fun LeaderState.logReport(event: String, report: WorkerReport, known: WorkerView?) = logDecision(
+    event,
     report.ref.id,
     "address" to report.ref.address,
     "bornMillis" to report.ref.startMillis,
@@ -133,24 +126,6 @@
     "runs" to known?.let { view -> runs.values.count { it.worker == view.ref } },
 )
 
-private fun WorkerView.isNewerThan(report: WorkerReport): Boolean {
-    // The incarnation may be known from an answer to an order before its first report.
-    val newestSequence = this.report?.sequence ?: Long.MIN_VALUE
-    return ref.startMillis > report.ref.startMillis ||
-        ref.startMillis == report.ref.startMillis && newestSequence >= report.sequence
-}
-
-private fun WorkerView.withClock(shownMillis: Long, nowMillis: Long): WorkerView =
-    if (clockReadMillis == 0L || shownMillis > clockNowMillis(nowMillis)) {
-        copy(clockMillis = shownMillis, clockReadMillis = nowMillis)
-    } else {
-        this
-    }
-
-private fun WorkerView.withContact(shownMillis: Long, nowMillis: Long): WorkerView =
-    copy(lastContactMillis = maxOf(lastContactMillis, nowMillis), failedCalls = 0, refusesConnections = false)
-        .withClock(shownMillis, nowMillis)
-
 private const val SUSPENDING_FAILURES = 2
 
 /** A worker that fails what it starts does so in less time. */
--- a/core/src/main/kotlin/org/auburnlever/workload/runs/WorkerView.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/runs/WorkerView.kt
@@ -36,7 +36,7 @@
  *
  * @property report newest report; null until this leader has received one
  * @property lastContactMillis when the newest report or answer was received
- * @property clockMillis the worker's clock at [clockReadMillis]
+ * @property clock what is known of the worker's clock
  * @property leaseEndMillis time at which no run that was ordered before can still be active
  * @property acknowledgedEnd number of the newest recorded end
  * @property confirmedEnd number up to which the worker has been told to forget ends
@@ -56,14 +56,14 @@
  *   listens there
  * @property predecessorLeft whether the earlier incarnation under this id drained or left before this one started
  * @property departureMillis when the worker announced its shutdown
- * @property replaced whether another worker has answered at its address since its last report, so that it has ended
+ * @property otherAnswerMillis when another worker answered at its address; null if none has since its last answer
+ * @property replaced whether another worker has answered again since, so that it has ended
  */
 data class WorkerView(
     val ref: WorkerRef,
     val report: WorkerReport? = null,
     val lastContactMillis: Long = 0,
-    val clockMillis: Long = 0,
-    val clockReadMillis: Long = 0,
+    val clock: WorkerClock = WorkerClock(),
     val leaseEndMillis: Long = 0,
     val acknowledgedEnd: Long = 0,
     val confirmedEnd: Long = 0,
@@ -81,14 +81,12 @@
     val refusesConnections: Boolean = false,
     val predecessorLeft: Boolean = false,
     val departureMillis: Long? = null,
+    val otherAnswerMillis: Long? = null,
     val replaced: Boolean = false,
 ) {
     /** Whether the worker has announced its shutdown or has ended. */
     val departed: Boolean get() = departureMillis != null || replaced
 
-    /** Whether the worker has reported that it drains, or has announced its shutdown. */
-    val shuttingDown: Boolean get() = departureMillis != null || report?.draining == true
-
     /** Returns whether the worker may get new work: it is reachable and not left out because of its runs. */
     fun usable(nowMillis: Long, reportLimitMillis: Long): Boolean =
         reachable(nowMillis, reportLimitMillis) && nowMillis >= suspendedUntilMillis && nowMillis >= stalledUntilMillis
@@ -97,15 +95,4 @@
     fun reachable(nowMillis: Long, reportLimitMillis: Long): Boolean =
         report != null && !report.draining && !departed &&
             nowMillis - lastContactMillis <= reportLimitMillis && failedCalls == 0 && failedPolls == 0
-
-    /** Returns what the worker's clock shows now, or slightly less, even if it is as slow as it may be. */
-    fun clockNowMillis(nowMillis: Long): Long =
-        clockMillis + (nowMillis - clockReadMillis) * (PERCENT - MAX_CLOCK_LAG_PERCENT) / PERCENT
-
-    private companion object {
-        const val PERCENT = 100
-
-        /** The operators allow the clocks of workers to be 2% slow. */
-        const val MAX_CLOCK_LAG_PERCENT = 2
-    }
 }
