Wait for the lease of a draining worker that refuses connections

A draining worker whose address refused connections was taken to have ended, and its runs started again at once. A server can close its listener before its work ends, and a proxy in front of it can refuse, so the task could run twice.

--- a/core/src/main/kotlin/org/auburnlever/workload/runs/WorkerLoss.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/runs/WorkerLoss.kt
@@ -7,7 +7,7 @@
  *
  * Only a sign that excludes a running process is one. Others don't count, as a worker that is cut off shows them too
  * and works on until its lease expires: an announced shutdown, whose acknowledgement may be lost; a call that times
- * out; a connection that is closed or reset; reports that don't come. Nor does a report of a later
+ * out; a connection that is closed, reset or refused; reports that don't come. Nor does a report of a later
  * incarnation, which anyone can write.
  */
 internal enum class WorkerLoss {
@@ -17,7 +17,7 @@
     /** Another worker has answered at its address, twice in a row. */
     REPLACED,
 
-    /** It was to shut down, and nothing listens at its address. */
+    /** It has announced that it ends now, and nothing listens at its address. */
     LEFT,
 
     /** It did not list its runs for as long as its lease lasts. */
@@ -32,7 +32,7 @@
 internal fun WorkerView.lossOf(ref: WorkerRef, nowMillis: Long): WorkerLoss? = when {
     this.ref.startMillis > ref.startMillis -> WorkerLoss.RESTARTED
     replaced -> WorkerLoss.REPLACED
-    (departureMillis != null || report?.draining == true) && refusesConnections -> WorkerLoss.LEFT
+    departureMillis != null && refusesConnections -> WorkerLoss.LEFT
     nowMillis >= leaseEndMillis -> WorkerLoss.LEASE_EXPIRED
     else -> null
 }
