Call a report that is not believed yet unconfirmed

A claim is the right to run a job in this project (docs/glossary.md). WorkerClaim -> UnconfirmedReport, claims -> unconfirmedReports, claim -> awaitConfirmation, handleClaimAnswer -> handleConfirmation, handleClaimList -> handleConfirmingList, askForClaims -> askForConfirmations, dropClaim -> discardReport; log events worker_claimed -> report_unconfirmed, claim_dropped -> report_discarded.

--- a/core/src/main/kotlin/org/auburnlever/workload/Coordinator.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/Coordinator.kt
@@ -34,7 +34,7 @@
 import org.auburnlever.workload.runs.WorkerOrder
 import org.auburnlever.workload.runs.WorkerReport
 import org.auburnlever.workload.runs.adoptRuns
-import org.auburnlever.workload.runs.askForClaims
+import org.auburnlever.workload.runs.askForConfirmations
 import org.auburnlever.workload.runs.forgetEndedRuns
 import org.auburnlever.workload.runs.handleEndsNotRecorded
 import org.auburnlever.workload.runs.handleEndsRecorded
@@ -198,7 +198,7 @@
             stopUnwantedRuns(state, nowMillis)
             handleStalledRuns(state, nowMillis, protectedRuns(state, handlesInterference, nowMillis))
             pollWorkers(confirmedMillis, nowMillis, watchedWorkers(interference))
-            askForClaims(nowMillis)
+            askForConfirmations(nowMillis)
         }
         recordLostRuns(nowMillis)
         if (leadershipConfirmed && !assigning && nowMillis >= nextPlanMillis) plan(state, nowMillis)
--- a/core/src/main/kotlin/org/auburnlever/workload/runs/LeaderState.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/runs/LeaderState.kt
@@ -28,7 +28,7 @@
         private set
 
     /** Reports that are not believed yet, by the incarnation and address that they name. */
-    var claims: PersistentMap<WorkerRef, WorkerClaim> = persistentMapOf()
+    var unconfirmedReports: PersistentMap<WorkerRef, UnconfirmedReport> = persistentMapOf()
 
     /** Starts that were sent and have neither been answered nor listed. */
     var lateStarts: PersistentMap<TaskRun, LateStart> = persistentMapOf()
--- a/core/src/main/kotlin/org/auburnlever/workload/runs/WorkerClaim.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/runs/UnconfirmedReport.kt
@@ -12,26 +12,26 @@
  * @property receivedMillis when the newest report with the same incarnation and address was received
  * @property askedMillis when the address was last asked
  */
-internal data class WorkerClaim(val report: WorkerReport, val receivedMillis: Long, val askedMillis: Long)
+internal data class UnconfirmedReport(val report: WorkerReport, val receivedMillis: Long, val askedMillis: Long)
 
-/** Keeps [report] as a claim, and asks the worker at its address for its incarnation. */
-internal fun LeaderState.claim(report: WorkerReport, nowMillis: Long) {
-    val earlier = claims[report.ref]
+/** Keeps [report] until it is confirmed, and asks the worker at its address for its incarnation. */
+internal fun LeaderState.awaitConfirmation(report: WorkerReport, nowMillis: Long) {
+    val earlier = unconfirmedReports[report.ref]
     val newest = if (earlier != null && earlier.report.sequence > report.sequence) earlier.report else report
-    if (earlier == null) logReport("worker_claimed", report, workers[report.ref.id])
-    val due = earlier == null || nowMillis - earlier.askedMillis >= CLAIM_REPEAT_MILLIS
+    if (earlier == null) logReport("report_unconfirmed", report, workers[report.ref.id])
+    val due = earlier == null || nowMillis - earlier.askedMillis >= CONFIRMATION_REPEAT_MILLIS
     val askedMillis = if (due) nowMillis else earlier.askedMillis
-    claims = claims.put(report.ref, WorkerClaim(newest, nowMillis, askedMillis))
+    unconfirmedReports = unconfirmedReports.put(report.ref, UnconfirmedReport(newest, nowMillis, askedMillis))
     if (due) ask(report.ref)
 }
 
-/** Asks again where a claim got no usable answer, and drops the claims that are no longer reported. */
-internal fun LeaderState.askForClaims(nowMillis: Long) = claims.values.forEach { claim ->
-    val ref = claim.report.ref
+/** Asks again where no usable answer came, and discards the reports that are not repeated. */
+internal fun LeaderState.askForConfirmations(nowMillis: Long) = unconfirmedReports.values.forEach { unconfirmed ->
+    val ref = unconfirmed.report.ref
     when {
-        nowMillis - claim.receivedMillis > limits.reportLimitMillis -> dropClaim(ref, "no usable answer")
-        nowMillis - claim.askedMillis >= CLAIM_REPEAT_MILLIS -> {
-            claims = claims.put(ref, claim.copy(askedMillis = nowMillis))
+        nowMillis - unconfirmed.receivedMillis > limits.reportLimitMillis -> discardReport(ref, "no usable answer")
+        nowMillis - unconfirmed.askedMillis >= CONFIRMATION_REPEAT_MILLIS -> {
+            unconfirmedReports = unconfirmedReports.put(ref, unconfirmed.copy(askedMillis = nowMillis))
             ask(ref)
         }
     }
@@ -44,48 +44,48 @@
     WorkerOrder.Poll(ref, term, acknowledgedEnd = 0, deadlineMillis = null, waitMillis = 0)
 
 /**
- * Handles the answer to [order] if it asks whether a claim is true.
+ * Handles the answer to [order] if it asks whether a report is true.
  *
  * Returns false if the answer is a list of the incarnation that is known of the worker, which is to be handled as such.
  */
-internal fun LeaderState.handleClaimAnswer(
+internal fun LeaderState.handleConfirmation(
     state: WorkloadState,
     order: WorkerOrder.Poll,
     answer: OrderAnswer,
     sentMillis: Long,
     nowMillis: Long,
 ): Boolean {
-    val claim = claims[order.worker]
+    val unconfirmed = unconfirmedReports[order.worker]
     val known = workers[order.worker.id]
     if (known?.ref == order.worker) return false
-    if (claim != null) {
+    if (unconfirmed != null) {
         when (answer) {
-            is OrderAnswer.Listed -> handleClaimList(state, claim, answer, sentMillis, nowMillis)
-            OrderAnswer.OtherIncarnation -> dropClaim(order.worker, "another worker answers")
+            is OrderAnswer.Listed -> handleConfirmingList(state, unconfirmed, answer, sentMillis, nowMillis)
+            OrderAnswer.OtherIncarnation -> discardReport(order.worker, "another worker answers")
             is OrderAnswer.Done, is OrderAnswer.Refused, is OrderAnswer.Unknown -> Unit
         }
     }
-    return claim != null
+    return unconfirmed != null
 }
 
-private fun LeaderState.handleClaimList(
+private fun LeaderState.handleConfirmingList(
     state: WorkloadState,
-    claim: WorkerClaim,
+    unconfirmed: UnconfirmedReport,
     listed: OrderAnswer.Listed,
     sentMillis: Long,
     nowMillis: Long,
 ) {
-    val ref = claim.report.ref
+    val ref = unconfirmed.report.ref
     val startMillis = listed.workerStartMillis ?: ref.startMillis
     val known = workers[ref.id]
     when {
         // An answer that was asked for before a still later incarnation was found.
-        known != null && known.ref.startMillis > startMillis -> dropClaim(ref, "an earlier incarnation answers")
-        startMillis < ref.startMillis -> dropClaim(ref, "another incarnation answers")
+        known != null && known.ref.startMillis > startMillis -> discardReport(ref, "an earlier incarnation answers")
+        startMillis < ref.startMillis -> discardReport(ref, "another incarnation answers")
         else -> {
-            claims = claims.remove(ref)
+            unconfirmedReports = unconfirmedReports.remove(ref)
             val answering = ref.copy(startMillis = startMillis)
-            val report = claim.report.takeIf { startMillis == ref.startMillis }
+            val report = unconfirmed.report.takeIf { startMillis == ref.startMillis }
             join(answering, report, listed, nowMillis)
             // The list of a later incarnation counts only once the runs of the earlier one are settled.
             val restarted = known != null && known.ref.startMillis != startMillis
@@ -94,10 +94,10 @@
     }
 }
 
-private fun LeaderState.dropClaim(ref: WorkerRef, reason: String) {
-    claims = claims.remove(ref)
+private fun LeaderState.discardReport(ref: WorkerRef, reason: String) {
+    unconfirmedReports = unconfirmedReports.remove(ref)
     logDecision(
-        "claim_dropped",
+        "report_discarded",
         ref.id,
         "address" to ref.address,
         "bornMillis" to ref.startMillis,
@@ -107,4 +107,4 @@
 }
 
 /** Interval at which an address without a usable answer is asked again. */
-private const val CLAIM_REPEAT_MILLIS = 300L
+private const val CONFIRMATION_REPEAT_MILLIS = 300L
--- a/core/src/main/kotlin/org/auburnlever/workload/runs/WorkerPolling.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/runs/WorkerPolling.kt
@@ -60,7 +60,7 @@
     sentMillis: Long,
     nowMillis: Long,
 ) {
-    if (handleClaimAnswer(state, order, answer, sentMillis, nowMillis)) return
+    if (handleConfirmation(state, order, answer, sentMillis, nowMillis)) return
     val view = workers[order.worker.id]?.takeIf { it.ref == order.worker } ?: return
     val listed = answer.takeIf { it.isListOf(order.worker) } as? OrderAnswer.Listed
     val confirmsReplacement = answer == OrderAnswer.OtherIncarnation && !view.replaced
--- a/core/src/main/kotlin/org/auburnlever/workload/runs/WorkerReports.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/runs/WorkerReports.kt
@@ -10,14 +10,14 @@
 /**
  * Stores a worker's report unless a newer one is known.
  *
- * A report of another incarnation or address than the known one is only a claim until the worker has answered.
+ * A report of another incarnation or address than the known one changes nothing until the worker has answered.
  */
 internal fun LeaderState.handleReport(report: WorkerReport, nowMillis: Long) {
     val known = workers[report.ref.id]
     when {
         known?.ref == report.ref -> handleNextReport(known, report, nowMillis)
         known != null && known.ref.startMillis > report.ref.startMillis -> Unit
-        else -> claim(report, nowMillis)
+        else -> awaitConfirmation(report, nowMillis)
     }
 }
 
@@ -111,7 +111,7 @@
     return view.copy(suspendedUntilMillis = untilMillis, suspensions = view.suspensions + 1)
 }
 
-/** Logs what [report] changes or claims and what was [known] before, to tell a restart from a false report. */
+/** Logs what [report] says and what was [known] before, to tell a restart from a false report. */
 internal fun LeaderState.logReport(event: String, report: WorkerReport, known: WorkerView?) = logDecision(
     event,
     report.ref.id,
--- a/core/src/test/kotlin/org/auburnlever/workload/runs/OtherWritersTest.kt
+++ b/core/src/test/kotlin/org/auburnlever/workload/runs/OtherWritersTest.kt
@@ -96,7 +96,7 @@
 
     /** Guards against a restart that stays unknown since the first question got lost. */
     @Test
-    fun `a worker that does not answer a claim is asked again while it reports`() {
+    fun `a worker that does not confirm a report is asked again while it reports`() {
         begunJob()
         orders.clear()
         receive(reportOf(startMillis = 5, OTHER_ADDRESS))
