Apply a report that another poll's list has confirmed

A worker that restarted was known as the later incarnation without a report when a regular poll showed it before the answer to its report did: it got no work until its next report, 1.5 s later. The test fails without the change.

--- a/core/src/main/kotlin/org/auburnlever/workload/runs/UnconfirmedReport.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/runs/UnconfirmedReport.kt
@@ -25,10 +25,19 @@
     if (due) ask(report.ref)
 }
 
-/** Asks again where no usable answer came, and discards the reports that are not repeated. */
+/**
+ * Asks again where no usable answer came, and discards the reports that are not repeated.
+ *
+ * A list that another poll asked for may have confirmed a report in the meantime.
+ */
 internal fun LeaderState.askForConfirmations(nowMillis: Long) = unconfirmedReports.values.forEach { unconfirmed ->
     val ref = unconfirmed.report.ref
+    val known = workers[ref.id]
     when {
+        known?.ref == ref -> {
+            unconfirmedReports = unconfirmedReports.remove(ref)
+            handleNextReport(known, unconfirmed.report, nowMillis)
+        }
         nowMillis - unconfirmed.receivedMillis > limits.reportLimitMillis -> discardReport(ref, "no usable answer")
         nowMillis - unconfirmed.askedMillis >= CONFIRMATION_REPEAT_MILLIS -> {
             unconfirmedReports = unconfirmedReports.put(ref, unconfirmed.copy(askedMillis = nowMillis))
--- a/core/src/main/kotlin/org/auburnlever/workload/runs/WorkerReports.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/runs/WorkerReports.kt
@@ -21,7 +21,8 @@
     }
 }
 
-private fun LeaderState.handleNextReport(known: WorkerView, report: WorkerReport, nowMillis: Long) {
+/** Stores [report] of the incarnation [known] unless a newer one is known. */
+internal fun LeaderState.handleNextReport(known: WorkerView, report: WorkerReport, nowMillis: Long) {
     // The incarnation may be known from an answer or an assignment before its first report.
     if (known.report != null && known.report.sequence >= report.sequence) return
     put(
--- a/core/src/test/kotlin/org/auburnlever/workload/runs/OtherWritersTest.kt
+++ b/core/src/test/kotlin/org/auburnlever/workload/runs/OtherWritersTest.kt
@@ -110,6 +110,23 @@
         assertTrue(orders.none { it.worker.address == OTHER_ADDRESS }, "asked without further reports: $orders")
     }
 
+    /** Guards against a restarted worker that gets no work until its next report. */
+    @Test
+    fun `a report that a list has confirmed meanwhile counts`() {
+        begunJob()
+        receive(reportOf(startMillis = 5))
+        val poll = orders.first { it is WorkerOrder.Poll && it.worker.startMillis == 1L }
+        val restarted = OrderAnswer.Listed(10, workerStartMillis = 5, emptyList(), emptyList())
+        answer(poll, restarted)
+        orders.clear()
+        repeat(2) {
+            tick(afterMillis = 300)
+            orders.filterIsInstance<WorkerOrder.Poll>().also { orders -= it.toSet() }.forEach { answer(it, restarted) }
+        }
+
+        assertTrue(orders.any { it is WorkerOrder.Start }, "no start on the later incarnation: $orders")
+    }
+
     /** Guards against a task that runs twice since a single answer was misdirected. */
     @Test
     fun `one answer of another worker does not end the runs of a worker that answers after it`() {
