--- a/core/src/main/kotlin/org/auburnlever/workload/runs/WorkerClock.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/runs/WorkerClock.kt
@@ -3,8 +3,8 @@
 /**
  * What is known of a worker's clock, which is steady and up to 2% slow.
  *
- * Only the worker's own answers count: too high a clock would give a worker a longer lease than its leaders wait for, and
- * reports may come from others.
+ * Only the worker's own answers count: too high a clock would give a worker a longer lease than its leaders wait for,
+ * and reports may come from others.
  */
 data class WorkerClock(private val reading: Reading? = null) {
     /** The clock showed [shownMillis] in an answer that was received at [receivedMillis]. */
--- a/core/src/main/kotlin/org/auburnlever/workload/runs/WorkerPolling.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/runs/WorkerPolling.kt
@@ -41,17 +41,21 @@
     }
 }
 
-/** Busy workers are polled all the time; others after an election, an end or a failed call, and to read their clocks. */
+/** Busy workers are polled all the time; others after an election, an end or a failed call, and for their clocks. */
 private fun WorkerView.dueForPoll(busy: Boolean, limits: WorkloadLimits, nowMillis: Long): Boolean {
-    val failing = failedCalls > 0 || failedPolls > 0
-    val unsettled = endsInFlight > 0 || acknowledgedEnd > confirmedEnd || !polled || failing
-    val wanted = busy || unsettled || clock.isOutdated(nowMillis)
+    val wanted = busy || isUnsettled || clock.isOutdated(nowMillis)
     val reports = !departed && nowMillis - lastContactMillis <= limits.reportLimitMillis
     val present = reports || busy && !replaced
     val free = pollSentMillis.let { it == null || nowMillis - it >= LOST_ANSWER_MILLIS }
     return wanted && present && free && nowMillis >= nextPollMillis
 }
 
+private val WorkerView.isUnsettled: Boolean
+    get() {
+        val failing = failedCalls > 0 || failedPolls > 0
+        return failing || endsInFlight > 0 || acknowledgedEnd > confirmedEnd || !polled
+    }
+
 /** Handles the answer to a poll that was sent at [sentMillis]. */
 internal fun LeaderState.handlePollAnswer(
     state: WorkloadState,
