Tell the start's answer of a later incarnation by the clock at its sending

A worker that restarted soon after its start could carry out a start that was in flight, and its answer counted as that of the earlier incarnation if it showed no less than the clock when it was last read. The run was then given up with the earlier incarnation while it ran. The answer is now compared with what the clock showed at least when the start was sent.

--- a/core/src/main/kotlin/org/auburnlever/workload/Coordinator.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/Coordinator.kt
@@ -51,6 +51,7 @@
 import org.auburnlever.workload.runs.stop
 import org.auburnlever.workload.runs.stopUnwantedRuns
 import org.auburnlever.workload.runs.updateReachability
+import org.auburnlever.workload.runs.viewOf
 import org.auburnlever.workload.runs.withholdFromRestarted
 import org.auburnlever.workload.sharing.LeaderShares
 import org.auburnlever.workload.state.JobAddress
@@ -109,9 +110,10 @@
         sentMillis: Long,
         nowMillis: Long,
     ): List<CoordinatorEffect> = leader.collect {
+        val clock = viewOf(order.worker)?.clock
         updateReachability(order, answer, sentMillis, nowMillis)
         when (order) {
-            is WorkerOrder.Start -> handleStartAnswer(order, answer, nowMillis)
+            is WorkerOrder.Start -> handleStartAnswer(order, answer, clock, sentMillis, nowMillis)
             is WorkerOrder.Stop -> handleStopAnswer(order, answer, nowMillis)
             is WorkerOrder.Pace -> interference = handlePaceAnswer(interference, order, answer, nowMillis)
             is WorkerOrder.Poll -> {
--- a/core/src/main/kotlin/org/auburnlever/workload/runs/RunOrders.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/runs/RunOrders.kt
@@ -34,12 +34,22 @@
     )
 }
 
-/** Handles the answer to a start; after a refusal the run never begins. */
-internal fun LeaderState.handleStartAnswer(order: WorkerOrder.Start, answer: OrderAnswer, nowMillis: Long) {
+/**
+ * Handles the answer to a start that was sent at [sentMillis]; after a refusal the run never begins.
+ *
+ * [clock] is what was known of the worker's clock before the answer.
+ */
+internal fun LeaderState.handleStartAnswer(
+    order: WorkerOrder.Start,
+    answer: OrderAnswer,
+    clock: WorkerClock?,
+    sentMillis: Long,
+    nowMillis: Long,
+) {
     settleStart(order, answer)
     val view = runs[order.run] ?: return
-    val worker = workers[order.worker.id]
-    val begun = view.begun || answer is OrderAnswer.Done && worker.isSameIncarnation(order.worker, answer)
+    val sameIncarnation = clock != null && viewOf(order.worker) != null
+    val begun = view.begun || answer is OrderAnswer.Done && sameIncarnation && clock.permits(answer, sentMillis)
     put(order.run, view.copy(answeredMillis = nowMillis, begun = begun))
     if (answer is OrderAnswer.Refused) {
         logDecision("start_refused", order.run.toString(), "worker" to order.worker.id, "reason" to answer.reason)
@@ -63,12 +73,12 @@
 }
 
 /**
- * Returns whether [answer] comes from the incarnation [expected].
+ * Returns whether [answer] to an order that was sent at [sentMillis] may come from the incarnation with this clock.
  *
  * A later incarnation at the same address answers too and does not identify itself, but its clock has restarted.
  */
-private fun WorkerView?.isSameIncarnation(expected: WorkerRef, answer: OrderAnswer.Done): Boolean =
-    this != null && ref == expected && clock.permits(answer.clockMillis)
+private fun WorkerClock.permits(answer: OrderAnswer.Done, sentMillis: Long): Boolean =
+    isKnown && answer.clockMillis >= nowMillis(sentMillis)
 
 /**
  * Orders [run] to stop for [reason], unless an order was sent less than [STOP_REPEAT_MILLIS] ago.
--- a/core/src/main/kotlin/org/auburnlever/workload/runs/WorkerClock.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/runs/WorkerClock.kt
@@ -24,9 +24,6 @@
         reading.shownMillis + (nowMillis - reading.receivedMillis) * (PERCENT - MAX_CLOCK_LAG_PERCENT) / PERCENT
     }
 
-    /** Returns whether the clock may show [shownMillis] now. That of a later incarnation starts anew, often lower. */
-    fun permits(shownMillis: Long): Boolean = reading == null || shownMillis >= reading.shownMillis
-
     /** Returns the clock after an answer that showed [shownMillis]; answers may overtake each other. */
     fun withAnswer(shownMillis: Long, nowMillis: Long): WorkerClock =
         if (isKnown && nowMillis(nowMillis) > shownMillis) this else WorkerClock(Reading(shownMillis, nowMillis))
