Count a stop only for the incarnation that confirmed it

A start in flight may be carried out by a later incarnation of its worker, so the run is recorded as lost only after that one has confirmed a stop. The answer to a stop that was sent to the earlier one counted too: the task was placed anew 1.2 s later, and the start could still arrive.

--- a/core/src/main/kotlin/org/auburnlever/workload/runs/RunOrders.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/runs/RunOrders.kt
@@ -108,7 +108,9 @@
     val certain = answer is OrderAnswer.Done || answer == OrderAnswer.Refused(RefusalReason.OUTDATED)
     if (certain) confirmLateStop(order)
     val view = runs[order.run] ?: return
-    if (certain) put(order.run, view.copy(stopAnsweredMillis = view.stopAnsweredMillis ?: nowMillis))
+    // The confirmation of an earlier incarnation says nothing about a later one.
+    val counts = certain && order.worker.startMillis == view.worker.startMillis
+    if (counts) put(order.run, view.copy(stopAnsweredMillis = view.stopAnsweredMillis ?: nowMillis))
 }
 
 /** Interval at which an unconfirmed stop is repeated; longer than the 900 ms that a worker takes. */
--- a/core/src/test/kotlin/org/auburnlever/workload/runs/RestartEvidenceTest.kt
+++ b/core/src/test/kotlin/org/auburnlever/workload/runs/RestartEvidenceTest.kt
@@ -8,11 +8,22 @@
 import org.auburnlever.workload.step
 import kotlin.test.Test
 import kotlin.test.assertEquals
+import kotlin.test.assertTrue
 
 /** Checks which answers of which incarnation count as evidence about a run whose worker restarts. */
 internal class RestartEvidenceTest : CoordinatorHarness() {
     private val phase: TaskPhase? get() = workload.state.task(TaskId(JOB, 0, 0, 0))?.phase
 
+    private fun emptyListOf(startMillis: Long?, clockMillis: Long = 500) =
+        OrderAnswer.Listed(clockMillis, startMillis, emptyList(), emptyList())
+
+    /** Answers the polls of the incarnation that started at [startMillis] with lists without runs for [millis]. */
+    private fun listNothingFor(millis: Long, startMillis: Long) = repeat((millis / 100).toInt()) {
+        tick()
+        val polls = orders.filterIsInstance<WorkerOrder.Poll>().also { orders -= it.toSet() }
+        polls.filter { it.worker.startMillis == startMillis }.forEach { answer(it, emptyListOf(startMillis)) }
+    }
+
     /** Guards against a task that runs twice since the answer of a later incarnation counts as that of the earlier. */
     @Test
     fun `a start that a later incarnation of a young worker has carried out is not given up`() {
@@ -26,4 +37,24 @@
 
         assertEquals(TaskPhase.ASSIGNED, phase, "given up although the later incarnation runs it")
     }
+
+    /** Guards against a start in flight that begins after its task was placed anew, since the wrong stop counted. */
+    @Test
+    fun `a stop that the earlier incarnation confirmed does not count for the later one`() {
+        val start = startJob()
+        answer(start, OrderAnswer.Unknown("no answer"))
+        tick()
+        answer(take<WorkerOrder.Poll>(), listed(), sentAgoMillis = 0)
+        tick()
+        answer(take<WorkerOrder.Poll>(), listed(), sentAgoMillis = 0)
+        val stop = take<WorkerOrder.Stop>()
+        assertEquals(1, stop.worker.startMillis)
+        deliver(report("1", startMillis = 5))
+        tick()
+        assertEquals(TaskPhase.ASSIGNED, phase, "the start may still arrive at the later incarnation")
+        answer(stop, OrderAnswer.Done(clockMillis = 100_200))
+        listNothingFor(millis = 3_000, startMillis = 5)
+
+        assertTrue(orders.none { it is WorkerOrder.Start }, "started anew without a stop at the later incarnation")
+    }
 }
