--- a/core/src/main/kotlin/org/auburnlever/workload/runs/UnconfirmedReport.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/runs/UnconfirmedReport.kt
@@ -85,7 +85,7 @@
     nowMillis: Long,
 ) {
     val ref = unconfirmed.report.ref
-    val startMillis = listed.workerStartMillis ?: ref.startMillis
+    val startMillis = listed.workerStartMillis ?: return
     val known = workers[ref.id]
     when {
         // An answer that was asked for before a still later incarnation was found.
--- a/core/src/test/kotlin/org/auburnlever/workload/runs/RestartEvidenceTest.kt
+++ b/core/src/test/kotlin/org/auburnlever/workload/runs/RestartEvidenceTest.kt
@@ -17,6 +17,8 @@
     private fun emptyListOf(startMillis: Long?, clockMillis: Long = 500) =
         OrderAnswer.Listed(clockMillis, startMillis, emptyList(), emptyList())
 
+    private fun receive(report: WorkerReport) = run(coordinator.onReport(report, workload.nowMillis))
+
     /** Answers the polls of the incarnation that started at [startMillis] with lists without runs for [millis]. */
     private fun listNothingFor(millis: Long, startMillis: Long) = repeat((millis / 100).toInt()) {
         tick()
@@ -57,4 +59,17 @@
 
         assertTrue(orders.none { it is WorkerOrder.Start }, "started anew without a stop at the later incarnation")
     }
+
+    /** Guards against a task that runs twice since an answer that tells no incarnation confirms any claim. */
+    @Test
+    fun `a list that tells no incarnation does not confirm that a worker has restarted`() {
+        val start = startJob()
+        answer(start, OrderAnswer.Done(clockMillis = 100_050))
+        orders.clear()
+        receive(report("1", startMillis = 5))
+        answer(take<WorkerOrder.Poll>(), emptyListOf(startMillis = null))
+        tick()
+
+        assertEquals(TaskPhase.ASSIGNED, phase)
+    }
 }
