--- a/core/src/main/kotlin/org/auburnlever/workload/runs/WorkerReachability.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/runs/WorkerReachability.kt
@@ -18,7 +18,7 @@
         is OrderAnswer.Listed ->
             if (answer.isListOf(ref)) known.withContact(answer.clockMillis, sentMillis, nowMillis) else known
         is OrderAnswer.Refused ->
-            known.copy(lastContactMillis = nowMillis, failedCalls = 0, refusesConnections = false)
+            known.withAnswerTo(sentMillis).copy(lastContactMillis = nowMillis, failedCalls = 0)
         OrderAnswer.OtherIncarnation -> known.withOtherAnswer(sentMillis, nowMillis)
         is OrderAnswer.Unknown ->
             known.copy(failedCalls = known.failedCalls + 1, refusesConnections = answer.connectionRefused)
@@ -40,13 +40,16 @@
     put(updated)
 }
 
-private fun WorkerView.withContact(shownMillis: Long, sentMillis: Long, nowMillis: Long): WorkerView = copy(
-    lastContactMillis = maxOf(lastContactMillis, nowMillis),
-    failedCalls = 0,
-    refusesConnections = false,
-    clock = clock.withAnswer(shownMillis, nowMillis),
-    otherAnswerMillis = otherAnswerMillis?.takeIf { sentMillis < it },
-)
+private fun WorkerView.withContact(shownMillis: Long, sentMillis: Long, nowMillis: Long): WorkerView =
+    withAnswerTo(sentMillis).copy(
+        lastContactMillis = maxOf(lastContactMillis, nowMillis),
+        failedCalls = 0,
+        clock = clock.withAnswer(shownMillis, nowMillis),
+    )
+
+/** Notes that the worker itself answered an order that was sent at [sentMillis]. */
+private fun WorkerView.withAnswerTo(sentMillis: Long): WorkerView =
+    copy(refusesConnections = false, otherAnswerMillis = otherAnswerMillis?.takeIf { sentMillis < it })
 
 /** Counts that another worker answered; only the answer to a later order confirms that this one has ended. */
 private fun WorkerView.withOtherAnswer(sentMillis: Long, nowMillis: Long): WorkerView {
--- a/core/src/test/kotlin/org/auburnlever/workload/runs/RestartEvidenceTest.kt
+++ b/core/src/test/kotlin/org/auburnlever/workload/runs/RestartEvidenceTest.kt
@@ -72,4 +72,19 @@
 
         assertEquals(TaskPhase.ASSIGNED, phase)
     }
+
+    /** Guards against a task that runs twice since two answers of others count as in a row with one of the worker. */
+    @Test
+    fun `a worker that refuses an order between two answers of others is not replaced`() {
+        val start = startJob()
+        answer(start, OrderAnswer.Done(clockMillis = 100_050))
+        answer(take<WorkerOrder.Poll>(), OrderAnswer.OtherIncarnation)
+        tick()
+        answer(take<WorkerOrder.Poll>(), OrderAnswer.Refused(RefusalReason.UNHEALTHY))
+        tick(afterMillis = 400)
+        answer(take<WorkerOrder.Poll>(), OrderAnswer.OtherIncarnation)
+        tick()
+
+        assertEquals(TaskPhase.ASSIGNED, phase)
+    }
 }
