Count the longest lease of a worker since its restart

A poll in flight for the earlier incarnation of a worker carries a deadline of another clock, so the later one may grant it the longest lease. A run that started there and fell silent was given up after 6.5 s of at most 10 s. The leader now waits for the longest lease since it learned of the restart. The cost: a worker that ends silently within 10 s after a restart is waited for up to 4 s longer. The reports of the tests' workers show a clock that agrees with their later answers, since these are now compared.

--- a/core/src/main/kotlin/org/auburnlever/workload/Coordinator.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/Coordinator.kt
@@ -194,7 +194,7 @@
         forgetEndedRuns(state)
         interference = interference.copy(control = interference.control.keepRuns { it in runs })
         // The assignments of a proposal may be applied before the reply to it is handled, which then starts them.
-        if (!assigning) adoptRuns(state)
+        if (!assigning) adoptRuns(state, nowMillis)
         val leadershipConfirmed = isConfirmed(confirmedMillis, nowMillis)
         if (leadershipConfirmed) {
             stopUnwantedRuns(state, nowMillis)
--- a/core/src/main/kotlin/org/auburnlever/workload/runs/LeaderState.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/runs/LeaderState.kt
@@ -43,11 +43,17 @@
     private val electionLeaseEndMillis = electedMillis + limits.leaseSafeMillis
     private val effects = ArrayList<CoordinatorEffect>()
 
-    /** Creates the view of a worker of which only [ref] is known. */
-    fun freshView(ref: WorkerRef): WorkerView {
-        val earlier = workers[ref.id]
-        val left = earlier != null && (earlier.departed || earlier.report?.draining == true)
-        return WorkerView(ref = ref, leaseEndMillis = electionLeaseEndMillis, predecessorLeft = left)
+    /**
+     * Creates the view of a worker of which only [ref] is known at [nowMillis].
+     *
+     * An order to an earlier incarnation that is still in flight carries a deadline of another clock, so a later one may
+     * grant it the longest lease.
+     */
+    fun freshView(ref: WorkerRef, nowMillis: Long): WorkerView {
+        val earlier = workers[ref.id] ?: return WorkerView(ref = ref, leaseEndMillis = electionLeaseEndMillis)
+        val leaseEndMillis = maxOf(electionLeaseEndMillis, nowMillis + limits.longestLeaseSafeMillis)
+        val left = earlier.departed || earlier.report?.draining == true
+        return WorkerView(ref = ref, leaseEndMillis = leaseEndMillis, predecessorLeft = left)
     }
 
     fun put(view: WorkerView) {
--- a/core/src/main/kotlin/org/auburnlever/workload/runs/RunOrders.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/runs/RunOrders.kt
@@ -16,7 +16,7 @@
     val task = job?.task(run.task)
     val ref = task?.worker?.takeIf { task.run == run.run && run !in proposedEnds }
     if (job == null || task == null || ref == null) return
-    val view = workers[ref.id] ?: freshView(ref)
+    val view = workers[ref.id] ?: freshView(ref, nowMillis)
     put(run, RunView(ref, answeredMillis = null, progressMillis = nowMillis, startedMillis = nowMillis))
     // The worker grants its longest lease if the deadline was computed without its clock.
     val leaseMillis = if (view.clock.isKnown) limits.leaseSafeMillis else limits.longestLeaseSafeMillis
--- a/core/src/main/kotlin/org/auburnlever/workload/runs/RunReconciliation.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/runs/RunReconciliation.kt
@@ -18,7 +18,7 @@
 }
 
 /** Adopts assigned runs that this leader does not know yet. */
-internal fun LeaderState.adoptRuns(state: WorkloadState) {
+internal fun LeaderState.adoptRuns(state: WorkloadState, nowMillis: Long) {
     if (state.jobs === adoptedFrom) return
     adoptedFrom = state.jobs
     for ((id, task) in state.jobs.values.flatMap { it.assigned() }) {
@@ -26,14 +26,14 @@
         val ref = task.worker
         if (ref != null && run !in runs && run !in proposedEnds) {
             put(run, RunView(ref, answeredMillis = 0, startedMillis = task.assignedMillis, adopted = true))
-            adoptWorker(ref)
+            adoptWorker(ref, nowMillis)
         }
     }
 }
 
-private fun LeaderState.adoptWorker(ref: WorkerRef) {
+private fun LeaderState.adoptWorker(ref: WorkerRef, nowMillis: Long) {
     val known = workers[ref.id]
-    if (known == null || known.ref.startMillis < ref.startMillis) put(freshView(ref))
+    if (known == null || known.ref.startMillis < ref.startMillis) put(freshView(ref, nowMillis))
 }
 
 /** Stops the runs of ended jobs and of gangs that have lost a member, and those that are over but may still begin. */
--- a/core/src/main/kotlin/org/auburnlever/workload/runs/WorkerPolling.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/runs/WorkerPolling.kt
@@ -74,7 +74,7 @@
     if (listed != null) {
         handleList(state, order, listed, sentMillis, nowMillis)
     } else if (answer is OrderAnswer.Listed) {
-        handleOtherIncarnation(order.worker, answer)
+        handleOtherIncarnation(order.worker, answer, nowMillis)
     }
 }
 
@@ -106,10 +106,14 @@
  *
  * The lists of a later one start from scratch, so they must not be read as those of [expected]; an earlier one is over.
  */
-private fun LeaderState.handleOtherIncarnation(expected: WorkerRef, listed: OrderAnswer.Listed) {
+private fun LeaderState.handleOtherIncarnation(
+    expected: WorkerRef,
+    listed: OrderAnswer.Listed,
+    nowMillis: Long,
+) {
     val startMillis = listed.workerStartMillis ?: return
     val isLater = startMillis > expected.startMillis
-    if (isLater) put(freshView(expected.copy(startMillis = startMillis)))
+    if (isLater) put(freshView(expected.copy(startMillis = startMillis), nowMillis))
     logDecision(
         if (isLater) "worker_reborn" else "list_of_earlier_incarnation",
         expected.id,
--- a/core/src/main/kotlin/org/auburnlever/workload/runs/WorkerReports.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/runs/WorkerReports.kt
@@ -40,7 +40,7 @@
 /** Takes the worker [ref], which has [listed] its runs, into the fleet, or its new address; [report] may be missing. */
 internal fun LeaderState.join(ref: WorkerRef, report: WorkerReport?, listed: OrderAnswer.Listed, nowMillis: Long) {
     val known = workers[ref.id]
-    val base = known?.takeIf { it.ref.startMillis == ref.startMillis } ?: freshView(ref)
+    val base = known?.takeIf { it.ref.startMillis == ref.startMillis } ?: freshView(ref, nowMillis)
     put(
         base.copy(
             ref = ref,
--- a/core/src/test/kotlin/org/auburnlever/workload/CoordinatorTest.kt
+++ b/core/src/test/kotlin/org/auburnlever/workload/CoordinatorTest.kt
@@ -358,7 +358,7 @@
         pauseAfterCommitMillis = 400
         val start = startJob()
 
-        val slowestClockMillis = 100_000 + (1_000 + pauseAfterCommitMillis) * 98 / 100
+        val slowestClockMillis = 99_000 + (1_000 + pauseAfterCommitMillis) * 98 / 100
         assertEquals(slowestClockMillis + limits.leaseMillis - pauseAfterCommitMillis, start.deadlineMillis)
     }
 
--- a/core/src/test/kotlin/org/auburnlever/workload/Fixtures.kt
+++ b/core/src/test/kotlin/org/auburnlever/workload/Fixtures.kt
@@ -78,7 +78,7 @@
     draining = draining,
     capacity = Resources(milliCores = 128_000, memoryMiB = 512_000, accelerators = 8),
     labels = listOf("k", rack),
-    clockMillis = 100_000,
+    clockMillis = 99_000,
     sequence = sequence,
 )
 
--- a/core/src/test/kotlin/org/auburnlever/workload/runs/OtherWritersTest.kt
+++ b/core/src/test/kotlin/org/auburnlever/workload/runs/OtherWritersTest.kt
@@ -127,6 +127,26 @@
         assertTrue(orders.any { it is WorkerOrder.Start }, "no start on the later incarnation: $orders")
     }
 
+    /** Guards against a lease that a poll in flight for the earlier incarnation gives to the later one. */
+    @Test
+    fun `a run of a restarted worker that falls silent is not given up before the longest lease since the restart`() {
+        val poll = begunJob().let { take<WorkerOrder.Poll>() }
+        answer(poll, OrderAnswer.Listed(10, workerStartMillis = 5, emptyList(), emptyList()))
+        val restartedMillis = workload.nowMillis
+        receive(report("1", startMillis = 5))
+        while (orders.none { it is WorkerOrder.Start && it.worker.startMillis == 5L }) {
+            tick()
+            val polls = orders.filterIsInstance<WorkerOrder.Poll>().also { orders -= it.toSet() }
+            polls.forEach { answer(it, OrderAnswer.Listed(100, workerStartMillis = 5, emptyList(), emptyList())) }
+        }
+        while (workload.nowMillis < restartedMillis + limits.longestLeaseMillis) {
+            val sinceMillis = workload.nowMillis - restartedMillis
+            assertEquals(TaskPhase.ASSIGNED, phase, "given up $sinceMillis ms after the restart")
+            tick()
+            orders.toList().also { orders.clear() }.forEach { answer(it, OrderAnswer.Unknown("no answer")) }
+        }
+    }
+
     /** Guards against a task that runs twice since a single answer was misdirected. */
     @Test
     fun `one answer of another worker does not end the runs of a worker that answers after it`() {
--- a/core/src/test/kotlin/org/auburnlever/workload/runs/WorkerBeliefTest.kt
+++ b/core/src/test/kotlin/org/auburnlever/workload/runs/WorkerBeliefTest.kt
@@ -284,7 +284,7 @@
         workload.submit("routine", JOB, step(tasks = 1))
         tick(afterMillis = 1_000)
 
-        assertEquals(100_000 + 980 + limits.leaseMillis, take<WorkerOrder.Start>().deadlineMillis)
+        assertEquals(99_000 + 980 + limits.leaseMillis, take<WorkerOrder.Start>().deadlineMillis)
     }
 
     /** Guards against leases that are too short to be renewed since the clock of an idle worker was read long ago. */
