--- a/core/src/main/kotlin/org/auburnlever/workload/runs/LeaderState.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/runs/LeaderState.kt
@@ -46,8 +46,8 @@
     /**
      * Creates the view of a worker of which only [ref] is known at [nowMillis].
      *
-     * An order to an earlier incarnation that is still in flight carries a deadline of another clock, so a later one may
-     * grant it the longest lease.
+     * An order to an earlier incarnation that is still in flight carries a deadline of another clock, so a later one
+     * may grant it the longest lease.
      */
     fun freshView(ref: WorkerRef, nowMillis: Long): WorkerView {
         val earlier = workers[ref.id] ?: return WorkerView(ref = ref, leaseEndMillis = electionLeaseEndMillis)
--- a/core/src/main/kotlin/org/auburnlever/workload/runs/RunOrders.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/runs/RunOrders.kt
@@ -3,7 +3,6 @@
 import org.auburnlever.workload.state.EndKind
 import org.auburnlever.workload.state.RunEnd
 import org.auburnlever.workload.state.TaskRun
-import org.auburnlever.workload.state.WorkerRef
 import org.auburnlever.workload.state.WorkloadState
 
 /**
