Let a worker's reports count again after one with too high a sequence

A report of another writer with the worker's own start and address, but a high sequence, shut out the worker's own reports for the rest of its life: it could count as draining for ever. Reports that keep rising below the newest one now count once two reports in a row are missing; those that arrive together after a time without a connection don't. The first of the two tests fails without the change.

--- a/core/src/main/kotlin/org/auburnlever/workload/runs/WorkerReports.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/runs/WorkerReports.kt
@@ -23,11 +23,17 @@
 
 /** Stores [report] of the incarnation [known] unless a newer one is known. */
 internal fun LeaderState.handleNextReport(known: WorkerView, report: WorkerReport, nowMillis: Long) {
-    // The incarnation may be known from an answer or an assignment before its first report.
-    if (known.report != null && known.report.sequence >= report.sequence) return
+    if (known.reportOrder.sequence == report.sequence) return
+    val order = known.reportOrder.after(report.sequence, limits.reportMillis, nowMillis)
+    if (order.sequence != report.sequence) {
+        put(known.copy(reportOrder = order))
+        return
+    }
+    if (report.sequence < (known.report?.sequence ?: report.sequence)) logReport("report_order_reset", report, known)
     put(
         known.copy(
             report = report,
+            reportOrder = order,
             lastContactMillis = nowMillis,
             departureMillis = null,
             otherAnswerMillis = null,
@@ -45,6 +51,7 @@
         base.copy(
             ref = ref,
             report = report ?: base.report,
+            reportOrder = report?.let { ReportOrder(it.sequence, nowMillis) } ?: base.reportOrder,
             lastContactMillis = nowMillis,
             clock = base.clock.withAnswer(listed.clockMillis, nowMillis),
             pollSentMillis = null,
--- a/core/src/test/kotlin/org/auburnlever/workload/runs/OtherWritersTest.kt
+++ b/core/src/test/kotlin/org/auburnlever/workload/runs/OtherWritersTest.kt
@@ -7,6 +7,7 @@
 import org.auburnlever.workload.state.TaskId
 import org.auburnlever.workload.state.TaskPhase
 import org.auburnlever.workload.state.answer
+import org.auburnlever.workload.step
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertTrue
@@ -80,6 +81,40 @@
         assertTrue(deadlines.isNotEmpty() && deadlines.all { it < 200_000 }, "deadlines by a false clock: $deadlines")
     }
 
+    /** Guards against a worker that counts as draining for ever since another writer's report had a high sequence. */
+    @Test
+    fun `the reports of a worker count again after one of another writer with a higher sequence`() {
+        val start = begunJob()
+        receive(report("1", sequence = 1_000_000, draining = true))
+        workload.submit("routine", "00000000000000a2", step(tasks = 1))
+        repeat(4) { index ->
+            repeat(15) {
+                tick()
+                answerPolls(start, OrderAnswer.Unknown("no answer"))
+            }
+            receive(report("1", sequence = index + 2L))
+        }
+        tick(afterMillis = 500)
+
+        assertTrue(orders.any { it is WorkerOrder.Start }, "no work for a worker that is ready: $orders")
+    }
+
+    /** Guards against work for a draining worker, whose earlier reports arrive after a time without a connection. */
+    @Test
+    fun `late reports that arrive together do not undo that a worker drains`() {
+        val start = begunJob()
+        receive(report("1", sequence = 10, draining = true))
+        workload.submit("routine", "00000000000000a2", step(tasks = 1))
+        repeat(50) {
+            tick()
+            answerPolls(start, OrderAnswer.Unknown("no answer"))
+        }
+        (2L..9L).forEach { receive(report("1", sequence = it)) }
+        tick(afterMillis = 500)
+
+        assertTrue(orders.none { it is WorkerOrder.Start }, "work for a draining worker: $orders")
+    }
+
     /** Guards against tasks that wait for a lease although their worker has restarted. */
     @Test
     fun `the runs of a restarted worker are given up once it has answered as the later incarnation`() {
