Acknowledge ends to a worker once, and only while it answers

Each poll repeated the number up to which the worker may forget ends. A poll for the earlier incarnation that reached a later one made it forget the first ends of its own: a task that had ended as done started again. The number is now sent until a list has confirmed it, and not after a failed call.

Found by the review, whose test fails without the change.

--- a/core/src/main/kotlin/org/auburnlever/workload/runs/WorkerPolling.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/runs/WorkerPolling.kt
@@ -19,8 +19,7 @@
         // The lease of a worker that does not list its runs is not extended, so that they can be recorded as lost when
         // it expires. Nor is that of a worker that has announced its shutdown, as nothing else may show its end; nor is
         // it while the worker's clock is unknown: too late a deadline would give it the longest lease that it grants.
-        val answers = view.failedCalls == 0 && view.failedPolls == 0
-        val extends = answers && !view.departed && view.clock.isKnown
+        val extends = view.answers && !view.departed && view.clock.isKnown
         val ageMillis = nowMillis - confirmedMillis
         val draining = view.report?.draining == true
         val leaseMillis = if (draining) limits.drainingLeaseMillis else limits.leaseMillis
@@ -33,7 +32,7 @@
         val poll = WorkerOrder.Poll(
             worker = view.ref,
             fencingToken = term,
-            acknowledgedEnd = view.acknowledgedEnd,
+            acknowledgedEnd = view.unconfirmedAcknowledgement,
             deadlineMillis = deadlineMillis.takeIf { extends },
             waitMillis = if (extends && view.ref.id in busy) minOf(longestWaitMillis, openWaitMillis) else 0,
         )
@@ -50,11 +49,14 @@
     return wanted && present && free && nowMillis >= nextPollMillis
 }
 
+private val WorkerView.answers: Boolean get() = failedCalls == 0 && failedPolls == 0
+
 private val WorkerView.isUnsettled: Boolean
-    get() {
-        val failing = failedCalls > 0 || failedPolls > 0
-        return failing || endsInFlight > 0 || acknowledgedEnd > confirmedEnd || !polled
-    }
+    get() = !answers || endsInFlight > 0 || acknowledgedEnd > confirmedEnd || !polled
+
+/** Number up to which the worker is to forget ends. Repeated, it would reach a later incarnation, which has others. */
+private val WorkerView.unconfirmedAcknowledgement: Long
+    get() = if (answers && acknowledgedEnd > confirmedEnd) acknowledgedEnd else 0
 
 /** Handles the answer to a poll that was sent at [sentMillis]. */
 internal fun LeaderState.handlePollAnswer(
--- a/core/src/test/kotlin/org/auburnlever/workload/runs/RestartEvidenceTest.kt
+++ b/core/src/test/kotlin/org/auburnlever/workload/runs/RestartEvidenceTest.kt
@@ -2,8 +2,11 @@
 
 import org.auburnlever.workload.CoordinatorHarness
 import org.auburnlever.workload.report
+import org.auburnlever.workload.state.EndKind
+import org.auburnlever.workload.state.RunEnd
 import org.auburnlever.workload.state.TaskId
 import org.auburnlever.workload.state.TaskPhase
+import org.auburnlever.workload.state.TaskRun
 import org.auburnlever.workload.state.answer
 import org.auburnlever.workload.step
 import kotlin.test.Test
@@ -73,6 +76,21 @@
         assertEquals(TaskPhase.ASSIGNED, phase)
     }
 
+    /** Guards against a restarted worker that gets no work, and polls without need, until its next report. */
+    @Test
+    fun `the report of a restarted worker is used although another answer showed its restart first`() {
+        val start = startJob()
+        answer(start, OrderAnswer.Done(clockMillis = 100_050))
+        val poll = take<WorkerOrder.Poll>()
+        receive(report("1", startMillis = 5))
+        val question = take<WorkerOrder.Poll>()
+        answer(poll, emptyListOf(startMillis = 5))
+        answer(question, emptyListOf(startMillis = 5))
+        listNothingFor(millis = 1_000, startMillis = 5)
+
+        assertTrue(orders.any { it is WorkerOrder.Start }, "nothing starts on the worker: $orders")
+    }
+
     /** Guards against a task that runs twice since two answers of others count as in a row with one of the worker. */
     @Test
     fun `a worker that refuses an order between two answers of others is not replaced`() {
@@ -87,4 +105,24 @@
 
         assertEquals(TaskPhase.ASSIGNED, phase)
     }
+
+    /** Guards against a task that runs twice: a later incarnation forgets its own ends up to a repeated number. */
+    @Test
+    fun `a number of ends that the worker has forgotten is not sent again`() {
+        val start = startJob()
+        workload.submit("routine", "00000000000000a2", step(tasks = 1))
+        answer(start, OrderAnswer.Done(clockMillis = 100_050))
+        val other = TaskId("00000000000000a2", 0, 0, 0)
+        tick(afterMillis = 300)
+        val active = listOf(ActiveRun(TaskRun(other, 1), "", percent = 1))
+        val ended = listOf(NumberedEnd(3, RunEnd(start.run, EndKind.DONE, "")))
+        answer(take<WorkerOrder.Poll>(), listed(active, ended))
+        tick()
+        val acknowledging = take<WorkerOrder.Poll>()
+        assertEquals(3, acknowledging.acknowledgedEnd)
+        answer(acknowledging, listed(active))
+        tick()
+
+        assertEquals(0, take<WorkerOrder.Poll>().acknowledgedEnd)
+    }
 }
