Tell a refused connection from one that could not be opened

A draining worker counted as gone as soon as a call failed with a ConnectException, so its runs were started elsewhere while they went on. The epoll transport throws that type for every error number but three, also for a lack of local ports or of permissions on the calling host.

`connectionRefused` now means that the operating system reported that nothing listens at the address. `notSent` is added for orders for which no connection was opened, whatever the reason; it decides whether a start can still begin, as `connectionRefused` did before.

--- a/core/src/main/kotlin/org/auburnlever/workload/runs/LateStart.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/runs/LateStart.kt
@@ -19,7 +19,7 @@
 
 /** Forgets the start of [order] if [answer] tells that it is not carried out later. */
 internal fun LeaderState.settleStart(order: WorkerOrder.Start, answer: OrderAnswer) {
-    val open = answer is OrderAnswer.Unknown && !answer.connectionRefused
+    val open = answer is OrderAnswer.Unknown && !answer.notSent
     if (!open) lateStarts = lateStarts.remove(order.run)
 }
 
--- a/core/src/main/kotlin/org/auburnlever/workload/runs/RunOrders.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/runs/RunOrders.kt
@@ -56,7 +56,7 @@
 private fun OrderAnswer.excludesStart(): Boolean = when (this) {
     // A refusal as fenced does not tell whether a later leader has started the run.
     is OrderAnswer.Refused -> reason != RefusalReason.FENCED
-    is OrderAnswer.Unknown -> connectionRefused
+    is OrderAnswer.Unknown -> notSent
     OrderAnswer.OtherIncarnation -> true
     is OrderAnswer.Done, is OrderAnswer.Listed -> false
 }
--- a/core/src/main/kotlin/org/auburnlever/workload/runs/WorkerOrder.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/runs/WorkerOrder.kt
@@ -87,9 +87,14 @@
     /**
      * No usable answer came; the order may still be carried out, even seconds later.
      *
-     * With [connectionRefused], nothing listens at the address, so the order was not sent.
+     * @property connectionRefused whether nothing listens at the address
+     * @property notSent whether no connection was opened, for whatever reason, so that the order is never carried out
      */
-    data class Unknown(val message: String, val connectionRefused: Boolean = false) : OrderAnswer
+    data class Unknown(
+        val message: String,
+        val connectionRefused: Boolean = false,
+        val notSent: Boolean = connectionRefused,
+    ) : OrderAnswer
 }
 
 /** Why a worker refused an order. */
