Keep freed room for the urgent job within its guarantee that it was freed for

An urgent job within its guarantee stops routine work, which takes up to the stop time. A later job within a guarantee whose objective is earlier was placed first in the next plan, took the freed room, and left the first job to stop other work: two stops of 900 ms do not fit into the 2,700 ms of the guarantee.

Steps were ordered by their objective alone. The first steps of jobs that must take room now to begin in time (reclaimIsDue) now come before all others, the oldest first. Before that time, and for later steps, the order is as it was: a step whose freed room is taken then still has time for another stop.

ReclaimTest failed before ("expected [first] but was [second]") and passes now, as do PreemptionTest, WorkPlanTest, PreemptionBudgetTest and HoldReviewTest.

--- a/core/src/main/kotlin/org/auburnlever/workload/planning/WorkPlan.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/planning/WorkPlan.kt
@@ -5,7 +5,6 @@
 import org.auburnlever.workload.holds.HoldRule
 import org.auburnlever.workload.holds.RoomHold
 import org.auburnlever.workload.holds.hold
-import org.auburnlever.workload.learning.DurationForecast
 import org.auburnlever.workload.placement.ScarcePlacement
 import org.auburnlever.workload.preemption.CallerWorth
 import org.auburnlever.workload.preemption.JointPreemption
@@ -89,10 +88,11 @@
     val steps = jobs.filter { it.phase == JobPhase.ACTIVE }.flatMap { it.waitingSteps(nowMillis, it.id in guaranteed) }
     val standings = HashMap<WaitingStep, JobStanding>()
     val standing = { step: WaitingStep -> standings.getOrPut(step) { step.standing(nowMillis, durations) } }
-    val byObjective = steps.sortedWith(waitingOrder(standing, rank = { 0 }, durations))
+    val rules = PreemptionRules(limits, nowMillis, durations)
+    val byObjective = steps.sortedWith(waitingOrder(standing, rank = { 0 }, rules))
     val ranks = accountRanks(byObjective)
     if (ranks.values.none { it > 0 }) return byObjective
-    return byObjective.sortedWith(waitingOrder(standing, rank = { ranks.getValue(it) }, durations))
+    return byObjective.sortedWith(waitingOrder(standing, rank = { ranks.getValue(it) }, rules))
 }
 
 /**
@@ -103,13 +103,20 @@
  * objective come first, the earliest objective first. Then come the late ones, the shortest first, since each late
  * answer is worth about the same, and last those whose answer is of no use any more, in the order of their acceptance.
  * Among jobs of one priority and standing, those with the lowest [rank] of their account come first.
+ *
+ * First steps that must take room now to begin within their guarantee come before all others, the oldest first. A later
+ * job with an earlier objective would otherwise take the room that was freed for them, and a second stop is too late.
  */
 private fun waitingOrder(
     standing: (WaitingStep) -> JobStanding,
     rank: (WaitingStep) -> Int,
-    durations: DurationForecast,
+    rules: PreemptionRules,
 ): Comparator<WaitingStep> = compareBy(
     { it.priority != URGENT },
+    { step ->
+        val due = step.spec.dependsOn.isEmpty() && rules.reclaimIsDue(step)
+        if (due) step.job.beginMillis(step.id.occurrence) else Long.MAX_VALUE
+    },
     { standing(it) == JobStanding.OVERDUE },
     { it.priority },
     { !it.guaranteed },
@@ -117,8 +124,8 @@
     { rank(it) },
     { step ->
         when (standing(step)) {
-            JobStanding.ON_TIME -> durations.objectiveMillis(step.job, step.id.occurrence)
-            JobStanding.LATE -> durations.criticalPathMillis(step.job)
+            JobStanding.ON_TIME -> rules.durations.objectiveMillis(step.job, step.id.occurrence)
+            JobStanding.LATE -> rules.durations.criticalPathMillis(step.job)
             JobStanding.OVERDUE -> step.job.beginMillis(step.id.occurrence)
         }
     },
