Let due urgent jobs within a guarantee share what other stops free

Found by reading, for rule RECLAIM; no caller's report shows it. Two urgent jobs within their guarantee wait on full workers. The first one stops a run that frees more than it needs. The second one needs that rest and one more stop. Without the preemption budget, a plan gives what a chosen stop leaves over to nobody, so it found no room for the second job and ordered its stop only after the first run had ended: two stops in a row, which take longer than the guarantee allows.

A step that must begin now (reclaimIsDue) and finds no other preemption is now offered what the stops for earlier steps leave over. Steps that find one without it are placed as before. Sharing for all steps within a guarantee was tried (trial) and taken back: the check of the worth in PreemptionBudgetTest, a burst, failed with it, as the worth without the budget rose above that with it.

ReclaimTest failed before (only one of two stops was ordered) and passes now, as do PreemptionTest, WorkPlanTest, PreemptionBudgetTest and HoldReviewTest.

--- a/core/src/main/kotlin/org/auburnlever/workload/planning/PreemptionPlanner.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/planning/PreemptionPlanner.kt
@@ -34,7 +34,16 @@
     private val chosenUnits = HashSet<PreemptionUnit>()
     private val stoppedUnits = HashSet<PreemptionUnit>()
 
-    private data class OfferKey(val priority: Int, val guaranteed: Boolean, val need: Resources, val patience: Long)
+    private data class OfferKey(
+        val priority: Int,
+        val guaranteed: Boolean,
+        val need: Resources,
+        val patience: Long,
+        val sharesFreedRoom: Boolean,
+    )
+
+    /** Work that ends by itself within [patienceMillis] is waited for. */
+    private class Search(val step: WaitingStep, val patienceMillis: Long, val sharesFreedRoom: Boolean)
 
     /** Cache of the offers for a first task; many urgent steps of a burst need the same. */
     private val firstOffers = HashMap<OfferKey, HashMap<WorkerCapacity, PreemptionOffer>>()
@@ -42,14 +51,21 @@
     /**
      * Returns the cheapest preemption for [step] on one of [candidateSets], or null if none frees enough resources.
      *
-     * Work that ends by itself within [patienceMillis] is waited for.
+     * Work that ends by itself within [patienceMillis] is waited for. With [sharesFreedRoom], the step may use what the
+     * units chosen for earlier steps leave beyond their need.
      */
-    fun find(step: WaitingStep, candidateSets: List<List<WorkerCapacity>>, patienceMillis: Long): Preemption? {
+    fun find(
+        step: WaitingStep,
+        candidateSets: List<List<WorkerCapacity>>,
+        patienceMillis: Long,
+        sharesFreedRoom: Boolean = this.sharesFreedRoom,
+    ): Preemption? {
         val patience = patienceMillis / PATIENCE_STEP_MILLIS * PATIENCE_STEP_MILLIS
-        return candidateSets.mapNotNull { candidates -> estimate(step, candidates, patience)?.let { candidates to it } }
+        val search = Search(step, patience, sharesFreedRoom)
+        return candidateSets.mapNotNull { candidates -> search.estimate(candidates)?.let { candidates to it } }
             .sortedBy { (_, estimate) -> estimate }
             .take(MAX_CANDIDATE_SETS_TRIED)
-            .mapNotNull { (candidates, _) -> fleet.trial { preemptOn(step, candidates, patience) } }
+            .mapNotNull { (candidates, _) -> fleet.trial { search.preemptOn(candidates) } }
             .minByOrNull { it.costMilliCoreMillis }
     }
 
@@ -67,23 +83,23 @@
         preemption.placements.forEach { it.allocate(step.spec.reserved) }
     }
 
-    /** Estimates the cost of [step] on [candidates] from one task on each worker; null if they can't hold it. */
-    private fun estimate(step: WaitingStep, candidates: List<WorkerCapacity>, patienceMillis: Long): Long? {
+    /** Estimates the cost of the step on [candidates] from one task on each worker; null if they can't hold it. */
+    private fun Search.estimate(candidates: List<WorkerCapacity>): Long? {
         val count = step.tasks.size
-        val known = knownOffers(step, patienceMillis)
-        val possible = candidates.filter { worker -> known.firstOffer(step, worker, patienceMillis).units != null }
+        val known = knownOffers()
+        val possible = candidates.filter { worker -> known.firstOffer(this, worker).units != null }
         val fitting = possible.sumOf { minOf(it.report.capacity.count(step.spec.reserved), count, step.allowedOn(it)) }
         if (fitting < count) return null
         val costs = possible.map { known.getValue(it).costMilliCoreMillis }.sorted().take(count)
         return costs.sum() + costs.last() * (count - costs.size)
     }
 
-    private fun preemptOn(step: WaitingStep, candidates: List<WorkerCapacity>, patienceMillis: Long): Preemption? {
+    private fun Search.preemptOn(candidates: List<WorkerCapacity>): Preemption? {
         val ending = LinkedHashSet<PreemptionUnit>()
         val placements = ArrayList<WorkerCapacity>()
         val offers = LinkedHashMap<WorkerCapacity, PreemptionOffer>()
-        val known = knownOffers(step, patienceMillis)
-        candidates.forEach { worker -> offers.update(worker, known.firstOffer(step, worker, patienceMillis)) }
+        val known = knownOffers()
+        candidates.forEach { worker -> offers.update(worker, known.firstOffer(this, worker)) }
         repeat(step.tasks.size) {
             val (worker, offer) = offers.minByOrNull { it.value.costMilliCoreMillis } ?: return null
             val units = offer.units.orEmpty()
@@ -95,7 +111,7 @@
             val changed = units.flatMap { it.workers() } + worker
             changed.filter { it in offers }.distinct().forEach { other ->
                 val full = placements.count { it === other } >= step.allowedOn(other)
-                if (full) offers -= other else offers.update(other, offer(step, other, patienceMillis, ending))
+                if (full) offers -= other else offers.update(other, offer(other, ending))
             }
         }
         val stopped = ending.filterNot { it.endsWithin(patienceMillis) }
@@ -103,34 +119,31 @@
     }
 
     /** Returns the cached offers of a step, looked up once for all workers, since hashing the key is expensive. */
-    private fun knownOffers(step: WaitingStep, patienceMillis: Long): HashMap<WorkerCapacity, PreemptionOffer> =
-        firstOffers.getOrPut(OfferKey(step.priority, step.guaranteed, step.spec.reserved, patienceMillis)) { HashMap() }
+    private fun Search.knownOffers(): HashMap<WorkerCapacity, PreemptionOffer> {
+        val key = OfferKey(step.priority, step.guaranteed, step.spec.reserved, patienceMillis, sharesFreedRoom)
+        return firstOffers.getOrPut(key) { HashMap() }
+    }
 
     private fun HashMap<WorkerCapacity, PreemptionOffer>.firstOffer(
-        step: WaitingStep,
+        search: Search,
         worker: WorkerCapacity,
-        patienceMillis: Long,
     ): PreemptionOffer {
         val cached = get(worker)
         if (cached != null && cached.free == worker.free) return cached
-        return offer(step, worker, patienceMillis, emptySet()).also { put(worker, it) }
+        return search.offer(worker, emptySet()).also { put(worker, it) }
     }
 
-    private fun offer(
-        step: WaitingStep,
-        worker: WorkerCapacity,
-        patienceMillis: Long,
-        ending: Set<PreemptionUnit>,
-    ): PreemptionOffer = if (step.allowedOn(worker) == 0) {
-        PreemptionOffer(worker.free, null, patienceMillis)
-    } else {
-        val onWorker = if (sharesFreedRoom) units.soonestOn(worker.ref.id) else units.on(worker.ref.id)
-        val chosen = ChosenUnits(freedOn(worker, patienceMillis, ending)) { it in chosenUnits || it in ending }
-        preemptionOffer(worker, step, onWorker, patienceMillis, chosen)
-    }
+    private fun Search.offer(worker: WorkerCapacity, ending: Set<PreemptionUnit>): PreemptionOffer =
+        if (step.allowedOn(worker) == 0) {
+            PreemptionOffer(worker.free, null, patienceMillis)
+        } else {
+            val onWorker = if (sharesFreedRoom) units.soonestOn(worker.ref.id) else units.on(worker.ref.id)
+            val chosen = ChosenUnits(freedOn(worker, ending)) { it in chosenUnits || it in ending }
+            preemptionOffer(worker, step, onWorker, patienceMillis, chosen)
+        }
 
     /** Returns what is free on [worker] once the units chosen for earlier steps have ended, if these are shared. */
-    private fun freedOn(worker: WorkerCapacity, patienceMillis: Long, ending: Set<PreemptionUnit>): Resources =
+    private fun Search.freedOn(worker: WorkerCapacity, ending: Set<PreemptionUnit>): Resources =
         if (sharesFreedRoom && chosenUnits.isNotEmpty()) {
             units.on(worker.ref.id)
                 .filter { it in chosenUnits && it !in ending && (it in stoppedUnits || it.endsWithin(patienceMillis)) }
--- a/core/src/main/kotlin/org/auburnlever/workload/planning/WorkPlanner.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/planning/WorkPlanner.kt
@@ -156,7 +156,9 @@
         val permitted = rules.permits(missing, preemption)
         val untilMillis = rules.urgentReservationEndMillis(missing)
         if (permitted || untilMillis != null) {
-            holdFor(step, HoldRule.URGENT_STEP, untilMillis) { preemptionPlanner.reserve(missing, preemption) }
+            holdFor(step, HoldRule.URGENT_STEP, untilMillis) {
+                preemptionPlanner.reserve(missing, preemption, stops = permitted)
+            }
         }
         if (permitted) {
             preemption.stopped.flatMap { it.runs }.forEach { (run, _) -> preemptedFor[run] = step.id }
@@ -172,9 +174,14 @@
         urgentClaims.clear()
     }
 
+    /**
+     * Returns a preemption for a step that must begin now within its guarantee.
+     *
+     * It may need what the stops for earlier steps leave over; a stop that waits until that room is free is too late.
+     */
     private fun findAnywhere(step: WaitingStep, patienceMillis: Long): Preemption? =
         if (rules.reclaimIsDue(step)) {
-            preemptionPlanner.find(step, listOf(pool(step).workers), patienceMillis)
+            preemptionPlanner.find(step, listOf(pool(step).workers), patienceMillis, sharesFreedRoom = true)
         } else {
             null
         }
--- a/core/src/test/kotlin/org/auburnlever/workload/planning/ReclaimTest.kt
+++ b/core/src/test/kotlin/org/auburnlever/workload/planning/ReclaimTest.kt
@@ -6,6 +6,8 @@
 import org.auburnlever.workload.runs.WorkerView
 import org.auburnlever.workload.state.EndKind
 import org.auburnlever.workload.state.StepSpec
+import org.auburnlever.workload.state.TaskId
+import org.auburnlever.workload.state.TaskRun
 import org.auburnlever.workload.step
 import kotlin.test.Test
 import kotlin.test.assertEquals
@@ -30,6 +32,8 @@
         workload.assign(job, run = 1, workers = mapOf(0 to worker))
     }
 
+    private fun run(job: String) = TaskRun(TaskId(job, 0, 0, 0), 1)
+
     /** Guards against a guarantee that is missed because a later job with an earlier objective takes the freed room. */
     @Test
     fun `room that was freed for a job within its guarantee is not given to a later one with an earlier objective`() {
@@ -46,4 +50,16 @@
         val plan = plan(workers = 2, guaranteedAccelerators = 16)
         assertEquals(listOf("first"), plan.assignments.map { it.step.job })
     }
+
+    /** Guards against a guarantee that is missed because a second stop waits until the first has ended. */
+    @Test
+    fun `jobs within their guarantee that need what several stops free together get all of these stops at once`() {
+        runRoutine("a", worker = "1", accelerators = 4)
+        runRoutine("b", worker = "1", accelerators = 4)
+        workload.nowMillis += 1_000
+        workload.submit("urgent", "first", oneTask(accelerators = 2, millis = 3_000))
+        workload.submit("urgent", "second", oneTask(accelerators = 6, millis = 8_000))
+        workload.nowMillis += 900
+        assertEquals(setOf(run("a"), run("b")), plan(workers = 1, guaranteedAccelerators = 8).preempted.toSet())
+    }
 }
