List a guarantee that small urgent jobs spread over all workers break

Each task of a small urgent job goes to the worker on which the least work is lost, so a few of them take one accelerator each on all workers. They are within their guarantee and may not be stopped, so a job of whole workers within the same guarantee finds no worker that it may clear, and waits until one of the small jobs ends.

--- a/core/src/test/kotlin/org/auburnlever/workload/planning/ReclaimTest.kt
+++ b/core/src/test/kotlin/org/auburnlever/workload/planning/ReclaimTest.kt
@@ -9,6 +9,7 @@
 import org.auburnlever.workload.state.TaskId
 import org.auburnlever.workload.state.TaskRun
 import org.auburnlever.workload.step
+import org.junit.jupiter.api.Tag
 import kotlin.test.Test
 import kotlin.test.assertEquals
 
@@ -62,4 +63,27 @@
         workload.nowMillis += 900
         assertEquals(setOf(run("a"), run("b")), plan(workers = 1, guaranteedAccelerators = 8).preempted.toSet())
     }
+
+    /** Guards against a guarantee that is missed because small urgent tasks are spread over all workers. */
+    @Test
+    @Tag("known-red")
+    fun `small urgent jobs leave a whole worker to a larger one within the same guarantee`() {
+        val workers = 1..4
+        workers.forEach { runRoutine("small-$it", worker = "$it", accelerators = 1) }
+        workload.nowMillis += 3_000
+        workers.forEach { runRoutine("large-$it", worker = "$it", accelerators = 7) }
+        workload.nowMillis += 1_000
+        workers.forEach { workload.submit("urgent", "urgent-$it", oneTask(accelerators = 1, millis = 8_000)) }
+        workload.nowMillis += 900
+        val stops = plan(workers = 4, guaranteedAccelerators = 12).preempted
+        stops.forEach { workload.end(it.task.job, index = 0, run = 1, kind = EndKind.STOPPED) }
+        for (placed in plan(workers = 4, guaranteedAccelerators = 12).assignments) {
+            workload.assign(placed.step.job, placed.run, placed.workers.mapValues { it.value.id })
+        }
+
+        workload.submit("urgent", "whole", oneTask(accelerators = 8, millis = 8_000))
+        workload.nowMillis += 900
+        val preemptedFor = plan(workers = 4, guaranteedAccelerators = 12).preemptedFor
+        assertEquals(setOf("whole"), preemptedFor.values.map { it.job }.toSet())
+    }
 }
