Keep a run that its worker lists, whatever answers its start

A start whose answer was misdirected or whose connection failed late gave its run up at once, also after a list had shown the run as active, so that the task ran twice.

--- a/core/src/main/kotlin/org/auburnlever/workload/runs/RunOrders.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/runs/RunOrders.kt
@@ -56,8 +56,9 @@
             workers[order.worker.id]?.let { put(suspended(it, nowMillis)) }
         }
     }
-    if (answer.excludesStart()) {
-        recordEnds(listOf(RunEnd(order.run, EndKind.LOST, checkpoint = "", unseen = !begun)))
+    // A list may have shown the run before, and a list is the stronger evidence.
+    if (answer.excludesStart() && !begun) {
+        recordEnds(listOf(RunEnd(order.run, EndKind.LOST, checkpoint = "", unseen = true)))
         logDecision("task_lost", order.run.toString(), "worker" to order.worker.id, "reason" to "not started")
     }
 }
--- a/core/src/test/kotlin/org/auburnlever/workload/runs/RestartEvidenceTest.kt
+++ b/core/src/test/kotlin/org/auburnlever/workload/runs/RestartEvidenceTest.kt
@@ -125,4 +125,15 @@
 
         assertEquals(0, take<WorkerOrder.Poll>().acknowledgedEnd)
     }
+
+    /** Guards against a task that runs twice since a misdirected answer to its start outweighs a list that shows it. */
+    @Test
+    fun `a run that is listed as active is not given up after an answer of others to its start`() {
+        val start = startJob()
+        answer(take<WorkerOrder.Poll>(), listed(active = listOf(ActiveRun(start.run, "", percent = 1))))
+        answer(start, OrderAnswer.OtherIncarnation)
+        tick()
+
+        assertEquals(TaskPhase.ASSIGNED, phase)
+    }
 }
