Drop the refused connection as a sign that a leaving worker has ended

A worker whose announced departure was not acknowledged serves on for some seconds, and may close its listener before its work ends, so that its tasks could run twice.

--- a/core/src/main/kotlin/org/auburnlever/workload/interference/PaceControl.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/interference/PaceControl.kt
@@ -140,7 +140,7 @@
     fun answered(run: TaskRun, percent: Int, answer: OrderAnswer, nowMillis: Long): PaceControl {
         val pace = paces[run] ?: return this
         val gone = answer == OrderAnswer.OtherIncarnation || answer == OrderAnswer.Refused(RefusalReason.OUTDATED)
-        val late = answer is OrderAnswer.Unknown && !answer.connectionRefused
+        val late = answer is OrderAnswer.Unknown && !answer.notSent
         val updated = when {
             answer is OrderAnswer.Done && percent == pace.percent -> pace.copy(answered = true, failures = 0)
             answer is OrderAnswer.Done -> pace
--- a/core/src/main/kotlin/org/auburnlever/workload/runs/LostRuns.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/runs/LostRuns.kt
@@ -65,10 +65,9 @@
 private fun LeaderState.crashed(worker: WorkerView, loss: WorkerLoss, nowMillis: Long): Boolean {
     val reports = nowMillis - worker.lastContactMillis <= limits.reportLimitMillis
     return when (loss) {
-        WorkerLoss.LEFT -> false
         WorkerLoss.RESTARTED -> !worker.predecessorLeft
         WorkerLoss.REPLACED -> worker.report?.draining != true
-        WorkerLoss.LEASE_EXPIRED -> worker.report?.draining != true && !reports
+        WorkerLoss.LEASE_EXPIRED -> !worker.departed && worker.report?.draining != true && !reports
     }
 }
 
--- a/core/src/main/kotlin/org/auburnlever/workload/runs/WorkerLoss.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/runs/WorkerLoss.kt
@@ -17,9 +17,6 @@
     /** Another worker has answered at its address, twice in a row. */
     REPLACED,
 
-    /** It has announced that it ends now, and nothing listens at its address. */
-    LEFT,
-
     /** It did not list its runs for as long as its lease lasts. */
     LEASE_EXPIRED,
 }
@@ -32,7 +29,6 @@
 internal fun WorkerView.lossOf(ref: WorkerRef, nowMillis: Long): WorkerLoss? = when {
     this.ref.startMillis > ref.startMillis -> WorkerLoss.RESTARTED
     replaced -> WorkerLoss.REPLACED
-    departureMillis != null && refusesConnections -> WorkerLoss.LEFT
     nowMillis >= leaseEndMillis -> WorkerLoss.LEASE_EXPIRED
     else -> null
 }
--- a/core/src/test/kotlin/org/auburnlever/workload/runs/LostWorkerTest.kt
+++ b/core/src/test/kotlin/org/auburnlever/workload/runs/LostWorkerTest.kt
@@ -161,6 +161,21 @@
         assertEquals(TaskPhase.WAITING, phase)
     }
 
+    /** Guards against a task that runs twice: without an acknowledgement a leaving worker works on for some seconds. */
+    @Test
+    fun `a run of a leaving worker whose address refuses connections is given up when its lease ends`() {
+        val start = startJob()
+        answer(start, OrderAnswer.Done(clockMillis = 100_050))
+        deliver(report("1", draining = true, sequence = 2))
+        answerAllFor(millis = 4_500, listed(active = listOf(ActiveRun(start.run, "", percent = 1))))
+        run(coordinator.onLeave("1", workload.nowMillis))
+        answerAllFor(limits.drainingLeaseMillis - 600, OrderAnswer.Unknown("refused", connectionRefused = true))
+        assertEquals(TaskPhase.ASSIGNED, phase)
+
+        answerAllFor(millis = 1_200, OrderAnswer.Unknown("refused", connectionRefused = true))
+        assertEquals(TaskPhase.WAITING, phase)
+    }
+
     /** Guards against a run that is given up because a former address of its worker is vacant or in use again. */
     @Test
     fun `answers at a former address do not show that a worker has ended`() {
