Bound the calls that false reports of workers cost

At most 1,000 reports are kept unconfirmed, and the interval at which an address is asked again doubles up to 2.4 s. The test fails without the change.

--- a/core/src/main/kotlin/org/auburnlever/workload/runs/UnconfirmedReport.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/runs/UnconfirmedReport.kt
@@ -11,18 +11,40 @@
  *
  * @property receivedMillis when the newest report with the same incarnation and address was received
  * @property askedMillis when the address was last asked
+ * @property askedCount how often it was asked
  */
-internal data class UnconfirmedReport(val report: WorkerReport, val receivedMillis: Long, val askedMillis: Long)
+internal data class UnconfirmedReport(
+    val report: WorkerReport,
+    val receivedMillis: Long,
+    val askedMillis: Long,
+    val askedCount: Int,
+) {
+    /** Returns whether the address is to be asked again; the interval doubles, up to a limit. */
+    fun isDue(nowMillis: Long): Boolean =
+        nowMillis - askedMillis >= CONFIRMATION_REPEAT_MILLIS shl minOf(askedCount - 1, MAX_DOUBLINGS)
+
+    fun asked(nowMillis: Long) = copy(askedMillis = nowMillis, askedCount = askedCount + 1)
+}
 
-/** Keeps [report] until it is confirmed, and asks the worker at its address for its incarnation. */
+/**
+ * Keeps [report] until it is confirmed, and asks the worker at its address for its incarnation.
+ *
+ * At most [MAX_UNCONFIRMED] reports are kept, so that a flood of false ones costs a bounded number of calls; a worker
+ * reports again.
+ */
 internal fun LeaderState.awaitConfirmation(report: WorkerReport, nowMillis: Long) {
-    val earlier = unconfirmedReports[report.ref]
-    val newest = if (earlier != null && earlier.report.sequence > report.sequence) earlier.report else report
-    if (earlier == null) logReport("report_unconfirmed", report, workers[report.ref.id])
-    val due = earlier == null || nowMillis - earlier.askedMillis >= CONFIRMATION_REPEAT_MILLIS
-    val askedMillis = if (due) nowMillis else earlier.askedMillis
-    unconfirmedReports = unconfirmedReports.put(report.ref, UnconfirmedReport(newest, nowMillis, askedMillis))
-    if (due) ask(report.ref)
+    val ref = report.ref
+    val earlier = unconfirmedReports[ref]
+    if (earlier != null) {
+        val newest = if (earlier.report.sequence > report.sequence) earlier.report else report
+        unconfirmedReports = unconfirmedReports.put(ref, earlier.copy(report = newest, receivedMillis = nowMillis))
+        askIfDue(ref, nowMillis)
+    } else if (unconfirmedReports.size < MAX_UNCONFIRMED) {
+        logReport("report_unconfirmed", report, workers[ref.id])
+        val unconfirmed = UnconfirmedReport(report, receivedMillis = nowMillis, askedMillis = nowMillis, askedCount = 1)
+        unconfirmedReports = unconfirmedReports.put(ref, unconfirmed)
+        ask(ref)
+    }
 }
 
 /**
@@ -39,13 +61,16 @@
             handleNextReport(known, unconfirmed.report, nowMillis)
         }
         nowMillis - unconfirmed.receivedMillis > limits.reportLimitMillis -> discardReport(ref, "no usable answer")
-        nowMillis - unconfirmed.askedMillis >= CONFIRMATION_REPEAT_MILLIS -> {
-            unconfirmedReports = unconfirmedReports.put(ref, unconfirmed.copy(askedMillis = nowMillis))
-            ask(ref)
-        }
+        else -> askIfDue(ref, nowMillis)
     }
 }
 
+private fun LeaderState.askIfDue(ref: WorkerRef, nowMillis: Long) {
+    val unconfirmed = unconfirmedReports[ref]?.takeIf { it.isDue(nowMillis) } ?: return
+    unconfirmedReports = unconfirmedReports.put(ref, unconfirmed.asked(nowMillis))
+    ask(ref)
+}
+
 private fun LeaderState.ask(ref: WorkerRef) = order(identification(ref))
 
 /** A poll whose answer tells the incarnation, and which neither extends a lease nor acknowledges ends. */
@@ -115,5 +140,9 @@
     )
 }
 
-/** Interval at which an address without a usable answer is asked again. */
+/** Time after which an address without a usable answer is asked for the second time. */
 private const val CONFIRMATION_REPEAT_MILLIS = 300L
+private const val MAX_DOUBLINGS = 3
+
+/** After an election all workers of a large fleet report within one interval, most of them confirmed at once. */
+private const val MAX_UNCONFIRMED = 1_000
--- a/core/src/test/kotlin/org/auburnlever/workload/runs/OtherWritersTest.kt
+++ b/core/src/test/kotlin/org/auburnlever/workload/runs/OtherWritersTest.kt
@@ -182,6 +182,27 @@
         }
     }
 
+    /** Guards against a leader that is busy with calls and log lines because of a flood of false reports. */
+    @Test
+    fun `a flood of false reports costs a bounded number of calls`() {
+        val start = begunJob()
+        repeat(10_000) { receive(reportOf(startMillis = 5L + it, OTHER_ADDRESS)) }
+        val atOnce = orders.count { it.worker.address == OTHER_ADDRESS }
+        repeat(60) {
+            receive(reportOf(startMillis = 5, OTHER_ADDRESS))
+            tick()
+            answerPolls(start, OrderAnswer.Unknown("no answer"))
+        }
+        orders.clear()
+        repeat(600) { index ->
+            if (index % 15 == 0) receive(reportOf(startMillis = 5, OTHER_ADDRESS))
+            tick()
+        }
+        val inOneMinute = orders.count { it.worker.address == OTHER_ADDRESS }
+
+        assertTrue(atOnce <= 1_000 && inOneMinute <= 30, "calls: $atOnce at once, $inOneMinute for one report a minute")
+    }
+
     /** Guards against a task that runs twice since a single answer was misdirected. */
     @Test
     fun `one answer of another worker does not end the runs of a worker that answers after it`() {
