--- /dev/null
+++ b/core/src/test/kotlin/org/auburnlever/workload/CoordinatorSchedule.kt
@@ -0,0 +1,338 @@
+package org.auburnlever.workload
+
+import org.auburnlever.workload.planning.START_MILLIS
+import org.auburnlever.workload.runs.OrderAnswer
+import org.auburnlever.workload.runs.WorkerOrder
+import org.auburnlever.workload.state.EndKind
+import org.auburnlever.workload.state.JobPhase
+import org.auburnlever.workload.state.RunEnd
+import org.auburnlever.workload.state.StepSpec
+import org.auburnlever.workload.state.TaskId
+import org.auburnlever.workload.state.TaskRun
+import org.auburnlever.workload.state.WorkloadCommand
+import org.auburnlever.workload.state.answer
+import org.auburnlever.workload.state.apply
+import org.auburnlever.workload.state.record
+import java.util.PriorityQueue
+import kotlin.random.Random
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+
+/** The faults of workers in a schedule; partitions are part of each. */
+internal enum class WorkerFaults {
+    PARTITIONS,
+
+    /** Workers crash and start again under their id. */
+    RESTARTS,
+
+    /** Workers crash or leave, and others start at their address; workers refuse orders as unhealthy. */
+    REPLACEMENTS,
+}
+
+private class Event(val atMillis: Long, val order: Long, val action: () -> Unit)
+
+/** A leader and when it was deposed; a deposed leader does not notice that at once. */
+private class Leader(val term: Long, val coordinator: Coordinator) {
+    var deposedMillis: Long? = null
+}
+
+/** Runs a random fault schedule in virtual time, drawn from [seed]. */
+internal class CoordinatorSchedule(
+    private val seed: Int,
+    private val workerFaults: WorkerFaults,
+    private val tickBeforeReply: Boolean = false,
+    private val kinds: List<JobKind> = listOf(JobKind.PLAIN),
+    private val jobCount: Int = JOBS,
+) : SimulatedFleet {
+    private val random = Random(seed)
+    private val limits = WorkloadLimits()
+    private val events = PriorityQueue<Event>(compareBy({ it.atMillis }, { it.order }))
+    private val workload = Workload(nowMillis = START_MILLIS).withCatalog()
+    private val completedTasks = HashSet<TaskId>()
+
+    // The newest worker at each address.
+    override val workers = MutableList(WORKERS) { index ->
+        SimulatedWorker("$index", random.nextInt(98, 101), this, rack = "r${index % RACKS}")
+    }
+    private val standing = StandingJobs(START_MILLIS + FAULTS_MILLIS + MAX_EFFECT_MILLIS)
+    private val answered = HashSet<Pair<Long, WorkerOrder>>()
+    private val history = ArrayList<String>()
+    private val partitionedUntilMillis = HashMap<String, Long>()
+    private var leader = Leader(1, Coordinator(1, START_MILLIS, limits))
+    private var scheduled = 0L
+    private val nowMillis: Long get() = workload.nowMillis
+    private val faulty: Boolean get() = nowMillis < START_MILLIS + FAULTS_MILLIS
+
+    /** Runs the schedule and returns which jobs stood still. */
+    fun execute(endMillis: Long = END_MILLIS): List<StandingJobs.Violation> {
+        workers.forEach { it.restart(START_MILLIS) }
+        every(REPORT_MILLIS) { workers.forEach { report(it) } }
+        every(TICK_MILLIS) { tick(leader) }
+        every(STEP_MILLIS) { workers.forEach { it.advance(nowMillis, STEP_MILLIS, ::randomEnd) } }
+        every(FAULT_MILLIS) { if (faulty) injectFault() }
+        every(TICK_MILLIS) { observeStandingJobs() }
+        repeat(jobCount) { job -> at(START_MILLIS + job * JOB_GAP_MILLIS) { submit(job) } }
+        while (events.isNotEmpty() && events.peek().atMillis <= START_MILLIS + endMillis) {
+            val event = events.poll()
+            workload.nowMillis = event.atMillis
+            event.action()
+        }
+        val open = workload.state.jobs.values.filter { it.phase == JobPhase.ACTIVE }
+        assertTrue(
+            open.isEmpty(),
+            "seed $seed: ${open.map { it.id to it.assigned() }}; ${open.firstOrNull()?.let { historyOf(it.id) }}",
+        )
+        return standing.violations
+    }
+
+    private fun observeStandingJobs() {
+        val running = workers.filter { it.running }
+        val usable = running.filter { !it.draining && !isPartitioned(it) && nowMillis >= it.unhealthyUntilMillis }
+        standing.observe(workload.state, running, usable, nowMillis)
+    }
+
+    private fun submit(job: Int) {
+        val kind = kinds.firstOrNull { random.nextInt(it.oneIn) == 0 } ?: JobKind.PLAIN
+        val spec = kind.draw(random, nowMillis)
+        val address = address(if (random.nextInt(4) == 0) "urgent" else "routine", "%016x".format(job))
+        workload.apply(WorkloadCommand.AcceptJob(address, spec))
+        leader.coordinator.onChange(nowMillis)
+        if (kind.endless) at(START_MILLIS + CANCEL_MILLIS) { workload.apply(WorkloadCommand.CancelJob(address)) }
+    }
+
+    private fun injectFault() {
+        val worker = workers.random(random)
+        when (random.nextInt(if (workerFaults == WorkerFaults.REPLACEMENTS) ALL_KINDS else COMMON_KINDS)) {
+            0 -> when (workerFaults) {
+                WorkerFaults.PARTITIONS -> Unit
+                WorkerFaults.RESTARTS -> worker.restart(nowMillis)
+                WorkerFaults.REPLACEMENTS -> replace(worker)
+            }
+            1 -> partitionedUntilMillis[worker.address] = nowMillis + random.nextLong(MAX_PARTITION_MILLIS)
+            2 -> replaceLeader()
+            3 -> drain(worker)
+            else -> worker.unhealthyUntilMillis = nowMillis + random.nextLong(MAX_UNHEALTHY_MILLIS)
+        }
+    }
+
+    /** Ends [worker] and starts another one with a new id at its address. */
+    private fun replace(worker: SimulatedWorker) {
+        if (!worker.running) return
+        worker.end()
+        record { "worker ${worker.id} ends" }
+        at(nowMillis + random.nextLong(MAX_VACANT_MILLIS)) {
+            val id = "${worker.id}.$nowMillis"
+            val next = SimulatedWorker(id, random.nextInt(98, 101), this, worker.rack, worker.address)
+            next.restart(nowMillis)
+            workers[workers.indexOf(worker)] = next
+            record { "worker $id starts" }
+        }
+    }
+
+    /** Lets [worker] report that it drains, announce later that it leaves, and be replaced. */
+    private fun drain(worker: SimulatedWorker) {
+        if (!worker.running || worker.draining) return
+        worker.draining = true
+        report(worker)
+        at(nowMillis + random.nextLong(MAX_DRAIN_MILLIS)) {
+            if (worker.running) {
+                leave(worker)
+                // Without an acknowledgement a worker serves on for some seconds; it may be cut off then.
+                val servesOnMillis = if (random.nextBoolean()) random.nextLong(MAX_SERVE_ON_MILLIS) else 0
+                if (random.nextBoolean()) partitionedUntilMillis[worker.address] = nowMillis + servesOnMillis
+                at(nowMillis + servesOnMillis) { replace(worker) }
+            }
+        }
+    }
+
+    private fun leave(worker: SimulatedWorker) {
+        val lost = isPartitioned(worker) || random.nextInt(PERCENT) < LEAVE_LOST_PERCENT
+        val late = faulty && random.nextBoolean()
+        val arrivesMillis = nowMillis + random.nextLong(1, if (late) MAX_LATE_MILLIS else MAX_DELIVERY_MILLIS)
+        if (!lost) at(arrivesMillis) { carryOut(leader, leader.coordinator.onLeave(worker.id, nowMillis)) }
+    }
+
+    /** Elects a new leader. The old one continues for a while without a majority and orders with the lower term. */
+    private fun replaceLeader() {
+        val old = leader
+        old.deposedMillis = nowMillis
+        repeat(DEPOSED_TICKS) { index -> at(nowMillis + index * TICK_MILLIS) { tick(old) } }
+        leader = Leader(old.term + 1, Coordinator(old.term + 1, nowMillis, limits))
+    }
+
+    private fun tick(leader: Leader) {
+        val confirmedMillis = leader.deposedMillis ?: nowMillis
+        carryOut(leader, leader.coordinator.tick(workload.state, confirmedMillis, nowMillis))
+    }
+
+    private fun carryOut(leader: Leader, effects: List<CoordinatorEffect>) = effects.forEach { effect ->
+        when (effect) {
+            is CoordinatorEffect.Log -> record { "leader ${leader.term} ${effect.entry}" }
+            is CoordinatorEffect.Order -> send(leader, effect.order)
+            is CoordinatorEffect.Propose -> {
+                val commitMillis = nowMillis + random.nextLong(COMMIT_MILLIS)
+                at(commitMillis) { commit(leader, effect) }
+            }
+        }
+    }
+
+    private fun commit(leader: Leader, effect: CoordinatorEffect.Propose) {
+        val effects = if (leader.deposedMillis != null) {
+            leader.coordinator.onNotApplied(effect.tag, nowMillis)
+        } else {
+            val reply = workload.apply(effect.command)
+            if (tickBeforeReply) tick(leader)
+            leader.coordinator.onApplied(workload.state, effect.tag, reply, confirmedMillis = nowMillis, nowMillis)
+        }
+        carryOut(leader, effects)
+    }
+
+    private fun send(leader: Leader, order: WorkerOrder) {
+        val sentMillis = nowMillis
+        val lost = faulty && random.nextInt(PERCENT) < LOST_PERCENT
+        val late = faulty && random.nextInt(PERCENT) < LATE_PERCENT
+        val arrivesMillis = nowMillis + random.nextLong(1, if (late) MAX_LATE_MILLIS else MAX_DELIVERY_MILLIS)
+        if (!lost) at(arrivesMillis) { arrive(leader, order, sentMillis) }
+        at(sentMillis + ANSWER_LIMIT_MILLIS) { answer(leader, order, OrderAnswer.Unknown("no answer"), sentMillis) }
+    }
+
+    private fun arrive(leader: Leader, order: WorkerOrder, sentMillis: Long) {
+        val worker = workers.first { it.address == order.worker.address }
+        val sameId = worker.id == order.worker.id
+        // A later incarnation carries out only orders that were in flight when it started. With orders sent long
+        // before, it could start anything, whatever the leader did; docs/platform.md asks the operators.
+        val stale = sameId && worker.startMillis > order.worker.startMillis &&
+            sentMillis < worker.startMillis - MAX_DELIVERY_MILLIS
+        if (isPartitioned(worker) || stale) return
+        val workMillis = workMillis(order, random.nextLong(MAX_WORK_MILLIS))
+        val reply = when {
+            // The machine of a worker that has ended may refuse connections or be gone.
+            !worker.running && random.nextBoolean() -> OrderAnswer.Unknown("refused", connectionRefused = true)
+            !worker.running -> return
+            sameId -> worker.carryOut(order, nowMillis, workMillis)
+            else -> OrderAnswer.OtherIncarnation
+        }
+        record { "worker ${worker.id} started ${worker.startMillis} receives $order, sent $sentMillis: $reply" }
+        val replyLost = faulty && random.nextInt(PERCENT) < LOST_PERCENT
+        val backMillis = nowMillis + random.nextLong(1, MAX_DELIVERY_MILLIS)
+        if (!replyLost) at(backMillis) { answer(leader, order, reply, sentMillis) }
+    }
+
+    /** Returns the work of a run that [order] starts; the members of a gang have the same. */
+    private fun workMillis(order: WorkerOrder, drawnMillis: Long): Long {
+        val run = (order as? WorkerOrder.Start)?.run ?: return drawnMillis
+        val step = stepOf(run.task)
+        val gangRandom = Random("$seed ${run.task.stepId}#${run.run}".hashCode())
+        val millis = if (step.gang) gangRandom.nextLong(MAX_WORK_MILLIS) else drawnMillis
+        return if (step.longRunning) millis * LONG_FACTOR else millis
+    }
+
+    /** Passes on the answer or the timeout, whichever comes first, like a driver that abandons a call. */
+    private fun answer(leader: Leader, order: WorkerOrder, answer: OrderAnswer, sentMillis: Long) {
+        if (!answered.add(sentMillis to order)) return
+        carryOut(leader, leader.coordinator.onAnswer(workload.state, order, answer, sentMillis, nowMillis))
+    }
+
+    private fun report(worker: SimulatedWorker) {
+        if (isPartitioned(worker) || !worker.running) return
+        val report = worker.report(nowMillis)
+        val deliveryMillis = random.nextLong(1, if (faulty) MAX_LATE_MILLIS else MAX_DELIVERY_MILLIS)
+        at(nowMillis + deliveryMillis) { carryOut(leader, leader.coordinator.onReport(report, nowMillis)) }
+    }
+
+    private fun isPartitioned(worker: SimulatedWorker) = nowMillis < (partitionedUntilMillis[worker.address] ?: 0)
+
+    private fun randomEnd(run: TaskRun): EndKind {
+        val failing = workload.job(run.task.job).spec.payload == JobKind.FAILING_PAYLOAD
+        val failedPercent = if (failing) OFTEN_FAILED_PERCENT else FAILED_PERCENT
+        val failed = random.nextInt(PERCENT) < failedPercent || stepOf(run.task).longRunning
+        return if (failed) EndKind.FAILED else EndKind.DONE
+    }
+
+    override fun stepOf(task: TaskId): StepSpec = workload.job(task.job).spec.steps[task.step]
+
+    override fun started(worker: SimulatedWorker, run: TaskRun) {
+        val others = workers.filter { it !== worker && run.task in it.active }.map { it.id }
+        assertEquals(emptyList(), others, "seed $seed at $nowMillis: $run starts on ${worker.id} beside these")
+        assertTrue(
+            run.task !in completedTasks,
+            "seed $seed: $run starts after an acknowledged end; ${historyOf(run.task)}",
+        )
+    }
+
+    private fun record(text: () -> String) {
+        history += "$nowMillis ${text()}"
+    }
+
+    private fun historyOf(task: TaskId): String = historyOf("$task")
+
+    private fun historyOf(name: String): String = history.filter { name in it }.joinToString("\n", "\n")
+
+    override fun acknowledged(end: RunEnd) {
+        if (end.kind == EndKind.DONE) completedTasks += end.run.task
+    }
+
+    private fun at(millis: Long, action: () -> Unit) {
+        events += Event(millis, scheduled++, action)
+    }
+
+    private fun every(intervalMillis: Long, action: () -> Unit) {
+        at(nowMillis + intervalMillis) {
+            action()
+            every(intervalMillis, action)
+        }
+    }
+
+    private companion object {
+        const val START_MILLIS = 10_000L
+        const val FAULTS_MILLIS = 40_000L
+
+        /** By then all leases have expired, all late orders have arrived, and the queue is empty. */
+        const val END_MILLIS = 120_000L
+
+        const val WORKERS = 5
+        const val RACKS = 2
+        const val JOBS = 40
+
+        /** Time at which jobs that do not end by themselves are canceled. */
+        const val CANCEL_MILLIS = 95_000L
+        const val JOB_GAP_MILLIS = 800L
+        const val REPORT_MILLIS = 1_500L
+        const val TICK_MILLIS = 100L
+        const val STEP_MILLIS = 50L
+        const val FAULT_MILLIS = 1_700L
+
+        /** Kinds of faults without and with those of [WorkerFaults.REPLACEMENTS]. */
+        const val COMMON_KINDS = 3
+        const val ALL_KINDS = 5
+        const val MAX_PARTITION_MILLIS = 9_000L
+
+        /** Longer than a call, so that a leader may or may not see one fail before another worker answers. */
+        const val MAX_VACANT_MILLIS = 3_000L
+        const val MAX_DRAIN_MILLIS = 5_000L
+        const val MAX_SERVE_ON_MILLIS = 6_000L
+
+        /** Longer than a lease, so that runs may end with their lease while the worker refuses polls. */
+        const val MAX_UNHEALTHY_MILLIS = 12_000L
+
+        /** Longest time for which a fault has an effect: an unhealthy worker or a late message. */
+        const val MAX_EFFECT_MILLIS = 12_000L
+        const val DEPOSED_TICKS = 15
+        const val COMMIT_MILLIS = 80L
+        const val MAX_DELIVERY_MILLIS = 40L
+
+        /** The operators' workers carry an order out up to 12 s late. */
+        const val MAX_LATE_MILLIS = 12_000L
+        const val ANSWER_LIMIT_MILLIS = 1_600L
+        const val MAX_WORK_MILLIS = 4_000L
+
+        /** Long-running tasks fail within 40 s. */
+        const val LONG_FACTOR = 10
+        const val PERCENT = 100
+        const val LOST_PERCENT = 8
+        const val LATE_PERCENT = 4
+        const val LEAVE_LOST_PERCENT = 25
+        const val FAILED_PERCENT = 3
+        const val OFTEN_FAILED_PERCENT = 40
+    }
+}
