Test that lists without fields and answers to earlier orders end no run

Lists without the incarnation, runs or ends, and two answers with 421 to orders that were sent at once.

--- /dev/null
+++ b/core/src/test/kotlin/org/auburnlever/workload/runs/IncarnationEvidenceTest.kt
@@ -0,0 +1,53 @@
+package org.auburnlever.workload.runs
+
+import org.auburnlever.workload.CoordinatorHarness
+import org.auburnlever.workload.state.TaskId
+import org.auburnlever.workload.state.TaskPhase
+import org.auburnlever.workload.state.answer
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+
+/** Checks that a run is not given up on evidence that another answer contradicts. */
+internal class IncarnationEvidenceTest : CoordinatorHarness() {
+    private fun assertNotGivenUp(message: String? = null) {
+        val task = workload.state.task(TaskId(JOB, 0, 0, 0))
+        assertEquals(TaskPhase.ASSIGNED to 1, task?.phase to task?.run, message)
+    }
+
+    private fun begunJob(): WorkerOrder.Start = startJob().also { answer(it, OrderAnswer.Done(clockMillis = 100_050)) }
+
+    private fun active(start: WorkerOrder.Start) = listed(active = listOf(ActiveRun(start.run, "", percent = 1)))
+
+    /** Guards against runs that count as ended since a list has no runs, no ends or no incarnation. */
+    @Test
+    fun `lists that lack fields do not end a run`() {
+        val start = begunJob()
+        repeat(100) { index ->
+            val list = when (index % 3) {
+                0 -> listed().copy(complete = false)
+                1 -> listed().copy(complete = false, workerStartMillis = null)
+                else -> active(start).copy(workerStartMillis = null)
+            }
+            tick()
+            orders.filterIsInstance<WorkerOrder.Poll>().also { orders -= it.toSet() }.forEach { answer(it, list) }
+        }
+
+        assertNotGivenUp()
+        assertTrue(orders.none { it is WorkerOrder.Stop }, "stopped: $orders")
+    }
+
+    /** Guards against two answers of another worker that count as in a row although both orders were under way. */
+    @Test
+    fun `two answers of another worker to orders that were sent at once do not end a run`() {
+        val start = begunJob()
+        val poll = take<WorkerOrder.Poll>()
+        answer(poll, OrderAnswer.OtherIncarnation, sentAgoMillis = 500)
+        answer(poll, OrderAnswer.OtherIncarnation, sentAgoMillis = 400)
+        tick()
+        answer(take<WorkerOrder.Poll>(), active(start), sentAgoMillis = 0)
+        tick()
+
+        assertNotGivenUp()
+    }
+}
