Don't take a list that holds a begun run of the known incarnation for a restart

A list that named a later incarnation was believed at once, whatever else it said, and all runs of its worker were given up without a stop. A later incarnation knows nothing of what the earlier one has begun, so a list that names it and holds such a run contradicts itself. It is now logged as list_contradictory and counts as a failed poll: the lease is not extended, and the next list tells.

--- a/core/src/main/kotlin/org/auburnlever/workload/runs/WorkerPolling.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/runs/WorkerPolling.kt
@@ -107,6 +107,7 @@
  * Handles a list of another incarnation than [expected], which is known of the worker.
  *
  * The lists of a later one start from scratch, so they must not be read as those of [expected]; an earlier one is over.
+ * A list that names a later one and holds a run that [expected] has begun contradicts itself, so it shows neither.
  */
 private fun LeaderState.handleOtherIncarnation(
     expected: WorkerRef,
@@ -114,10 +115,17 @@
     nowMillis: Long,
 ) {
     val startMillis = listed.workerStartMillis ?: return
-    val isLater = startMillis > expected.startMillis
+    val contradictory = listed.active.any { active ->
+        runs[active.run].let { it != null && it.begun && it.worker.startMillis == expected.startMillis }
+    }
+    val isLater = startMillis > expected.startMillis && !contradictory
     if (isLater) put(freshView(expected.copy(startMillis = startMillis), nowMillis))
     logDecision(
-        if (isLater) "worker_reborn" else "list_of_earlier_incarnation",
+        when {
+            isLater -> "worker_reborn"
+            contradictory -> "list_contradictory"
+            else -> "list_of_earlier_incarnation"
+        },
         expected.id,
         "bornMillis" to startMillis,
         "knownBornMillis" to expected.startMillis,
--- a/core/src/test/kotlin/org/auburnlever/workload/runs/IncarnationEvidenceTest.kt
+++ b/core/src/test/kotlin/org/auburnlever/workload/runs/IncarnationEvidenceTest.kt
@@ -37,6 +37,18 @@
         assertTrue(orders.none { it is WorkerOrder.Stop }, "stopped: $orders")
     }
 
+    /** Guards against a false restart by one list whose incarnation is wrong and which holds a run of the known one. */
+    @Test
+    fun `one list with a later incarnation does not end a run that it lists`() {
+        val start = begunJob()
+        answer(take<WorkerOrder.Poll>(), active(start))
+        tick()
+        answer(take<WorkerOrder.Poll>(), active(start).copy(workerStartMillis = 5))
+        tick()
+
+        assertNotGivenUp()
+    }
+
     /** Guards against two answers of another worker that count as in a row although both orders were under way. */
     @Test
     fun `two answers of another worker to orders that were sent at once do not end a run`() {
