--- a/core/src/main/kotlin/org/auburnlever/workload/runs/LeaderState.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/runs/LeaderState.kt
@@ -2,8 +2,8 @@
 
 import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.PersistentSet
+import kotlinx.collections.immutable.persistentHashSetOf
 import kotlinx.collections.immutable.persistentMapOf
-import kotlinx.collections.immutable.persistentSetOf
 import org.auburnlever.workload.CoordinatorEffect
 import org.auburnlever.workload.DecisionLogEntry
 import org.auburnlever.workload.ProposalTag
@@ -24,7 +24,7 @@
         private set
     var runs: PersistentMap<TaskRun, RunView> = persistentMapOf()
         private set
-    var proposedEnds: PersistentSet<TaskRun> = persistentSetOf()
+    var proposedEnds: PersistentSet<TaskRun> = persistentHashSetOf()
         private set
 
     /** Reports that are not believed yet, by the incarnation and address that they name. */
