--- a/core/src/test/kotlin/org/auburnlever/workload/CoordinatorScheduleTest.kt
+++ b/core/src/test/kotlin/org/auburnlever/workload/CoordinatorScheduleTest.kt
@@ -1,6 +1,5 @@
 package org.auburnlever.workload
 
-import org.junit.jupiter.api.Tag
 import kotlin.test.Test
 import kotlin.test.assertTrue
 
@@ -15,9 +14,8 @@
         repeat(SCHEDULES) { seed -> CoordinatorSchedule(seed, WorkerFaults.PARTITIONS).execute() }
     }
 
-    /** The same with workers that restart under the same id; see `KNOWN-RED.txt`. */
+    /** The same with workers that restart under the same id. */
     @Test
-    @Tag("known-red")
     fun `no task runs twice and every job ends although workers restart under their id`() {
         repeat(SCHEDULES) { seed -> CoordinatorSchedule(seed, WorkerFaults.RESTARTS).execute() }
     }
