--- a/core/src/main/kotlin/org/auburnlever/workload/runs/MissingRuns.kt
+++ b/core/src/main/kotlin/org/auburnlever/workload/runs/MissingRuns.kt
@@ -18,7 +18,7 @@
     val listedRuns = listed.active.map { it.run }.toSet() + listed.ended.map { it.end.run }
     val missing = runs.filter { (run, view) ->
         val answeredMillis = view.answeredMillis ?: (view.startedMillis + LOST_ANSWER_MILLIS)
-        view.worker.isSameLifeAs(ref) && run !in listedRuns && answeredMillis < sentMillis
+        view.worker.isSameIncarnationAs(ref) && run !in listedRuns && answeredMillis < sentMillis
     }
     missing.forEach { (run, view) ->
         // While a run is being stopped it is not listed, but uses resources until its end is listed.
@@ -35,4 +35,4 @@
     }
 }
 
-private fun WorkerRef.isSameLifeAs(other: WorkerRef) = id == other.id && startMillis == other.startMillis
+private fun WorkerRef.isSameIncarnationAs(other: WorkerRef) = id == other.id && startMillis == other.startMillis
