--- a/review/standins-3/src/review3/Minion.java
+++ b/review/standins-3/src/review3/Minion.java
@@ -50,6 +50,9 @@
     private Thread pings;
     private Thread ticks;
     protected volatile boolean up;
+
+    /** How far the time of day of the minion's machine is ahead. */
+    volatile long timeOfDayOffsetMillis;
     private long life;
     private long born;
     private long startNanos;
@@ -82,7 +85,7 @@
     /** Starts a new life, which knows nothing of earlier ones. */
     synchronized void start() throws IOException {
         life++;
-        born = Math.max(System.currentTimeMillis(), born + 1);
+        born = System.currentTimeMillis() + timeOfDayOffsetMillis;
         startNanos = System.nanoTime();
         sequence = 0;
         state = "ready";
