--- a/review/standins-3/src/review3/BornCase.java
+++ b/review/standins-3/src/review3/BornCase.java
@@ -38,11 +38,11 @@
     }
 
     private static int play(Journal journal, boolean trouble) throws Exception {
-        try (Deployment deployment = new Deployment(journal, 17, 3, 2, Bounds.SETTINGS)) {
+        try (Deployment deployment = new Deployment(journal, 18, 3, 2, Bounds.SETTINGS)) {
             deployment.start();
             deployment.publish(Client.desiredState(1, 1, 2));
             deployment.awaitReady();
-            int port = Net.freePorts(List.of("127.42.17.100"), MINIONS);
+            int port = Net.freePorts(List.of("127.42.18.100"), MINIONS);
             AtomicInteger starts = new AtomicInteger();
             List<Minion> minions = new ArrayList<>();
             Minion.Work work = new Minion.Work() {
@@ -57,7 +57,7 @@
                 }
             };
             for (int index = 0; index < MINIONS; index++) {
-                String address = "127.42.17.100:" + (port + index);
+                String address = "127.42.18.100:" + (port + index);
                 String kind = index == 0 ? "b" : "a";
                 minions.add(new Minion("i-" + index, address, kind, 8, deployment.controls, journal, work) {
                     @Override
