--- a/review/standins-3/src/review3/GangEndCase.java
+++ b/review/standins-3/src/review3/GangEndCase.java
@@ -38,11 +38,11 @@
     }
 
     private static int play(Journal journal, boolean trouble) throws Exception {
-        try (Deployment deployment = new Deployment(journal, 16, 3, 2, Bounds.SETTINGS)) {
+        try (Deployment deployment = new Deployment(journal, 15, 3, 2, Bounds.SETTINGS)) {
             deployment.start();
             deployment.publish(Client.desiredState(1, 1, 2));
             deployment.awaitReady();
-            int port = Net.freePorts(List.of("127.42.16.100"), MINIONS);
+            int port = Net.freePorts(List.of("127.42.15.100"), MINIONS);
             Map<String, Integer> running = new ConcurrentHashMap<>();
             List<Minion> minions = new ArrayList<>();
             Minion.Work work = new Minion.Work() {
@@ -57,7 +57,7 @@
                 }
             };
             for (int index = 0; index < MINIONS; index++) {
-                String address = "127.42.16.100:" + (port + index);
+                String address = "127.42.15.100:" + (port + index);
                 minions.add(new Minion("i-" + index, address, "a", 8, deployment.controls, journal, work) {
                     @Override
                     void onStart(Run run) {
--- a/review/standins-3/src/review3/MalformedCase.java
+++ b/review/standins-3/src/review3/MalformedCase.java
@@ -38,7 +38,7 @@
     }
 
     private static int play(Journal journal, boolean trouble) throws Exception {
-        try (Deployment deployment = new Deployment(journal, 17, 3, 2, Bounds.SETTINGS)) {
+        try (Deployment deployment = new Deployment(journal, 16, 3, 2, Bounds.SETTINGS)) {
             deployment.start();
             deployment.publish(Client.desiredState(1, 1, 2));
             deployment.awaitReady();
@@ -95,7 +95,7 @@
         text(body, "protocolVersion");
         body.write(0x01);
         text(body, "from");
-        text(body, "127.42.17.9");
+        text(body, "127.42.16.9");
         byte[] whole = body.toByteArray();
         ByteArrayOutputStream frame = new ByteArrayOutputStream();
         DataOutputStream out = new DataOutputStream(frame);
--- a/review/standins-3/src/review3/Minion.java
+++ b/review/standins-3/src/review3/Minion.java
@@ -51,6 +51,9 @@
     private Thread ticks;
     protected volatile boolean up;
 
+    /** Time from the start of a life to its first ping. */
+    volatile long firstPingMillis;
+
     /** How far the time of day of the minion's machine is ahead. */
     volatile long timeOfDayOffsetMillis;
     private long life;
@@ -136,6 +139,7 @@
     }
 
     private void pingWhile(long current) {
+        sleep(firstPingMillis);
         int next = ThreadLocalRandom.current().nextInt(controls.size());
         String target = controls.get(next);
         while (life == current) {
@@ -206,6 +210,24 @@
         notifyAll();
     }
 
+    /** Returns for how long the network holds a start before it reaches the minion; 0 for an order that it passes on. */
+    long heldMillis(String path, Map<String, Object> order) {
+        return 0;
+    }
+
+    /** Delivers a start, which gets no answer, to the life that the minion has by then. */
+    private void deliverLate(Map<String, Object> order, long heldMillis) {
+        journal.add("minion " + id + ": the start " + order.get("task") + " run " + order.get("run") + " is held for "
+                + heldMillis + " ms");
+        sleep(heldMillis);
+        synchronized (this) {
+            if (up) startRun(order);
+        }
+    }
+
+    void onTakenNoteOf(String task, long run, String how) {
+    }
+
     void onStart(Run run) {
     }
 
@@ -224,6 +246,11 @@
             answer.put("ok", true);
         } else {
             Map<String, Object> order = Json.object(body);
+            long heldMillis = heldMillis(path, order);
+            if (heldMillis > 0) {
+                daemon(() -> deliverLate(order, heldMillis));
+                return;
+            }
             synchronized (this) {
                 String refusal = switch (path) {
                     case "/run-start" -> startRun(order);
@@ -295,6 +322,10 @@
         Object deadline = order.get("deadlineMs");
         if (deadline != null) extend((Long) deadline);
         long acked = (Long) order.getOrDefault("ackedThrough", 0L);
+        for (List<Object> end : ended.headMap(acked, true).values()) {
+            journal.add("minion " + id + ": the end of run " + end.get(2) + " of " + end.get(1) + " is taken note of");
+            onTakenNoteOf((String) end.get(1), (Long) end.get(2), (String) end.get(3));
+        }
         ended.headMap(acked, true).clear();
         long waitEnd = clockMillis() + (Long) order.getOrDefault("waitMs", 0L);
         long current = life;
