--- a/review/standins-3/src/review3/BornCase.java
+++ b/review/standins-3/src/review3/BornCase.java
@@ -1,6 +1,5 @@
 package review3;
 
-import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -22,19 +21,8 @@
     private static final long FINISH_MILLIS = 14_000;
     private static final long IDLE_MILLIS = 3_000;
 
-    public static void main(String[] args) throws Exception {
-        boolean trouble = !"0".equals(System.getenv("TROUBLE"));
-        try (Journal journal = new Journal(Path.of(args[0], "record.txt"))) {
-            int verdict;
-            try {
-                verdict = play(journal, trouble);
-            } catch (Exception e) {
-                journal.add("the case could not run: " + e);
-                verdict = 2;
-            }
-            journal.add("verdict " + verdict);
-            System.exit(verdict);
-        }
+    public static void main(String[] args) {
+        Case.run(args[0], BornCase::play);
     }
 
     private static int play(Journal journal, boolean trouble) throws Exception {
@@ -53,7 +41,7 @@
 
                 @Override
                 public long gpus(String task) {
-                    return 1;
+                    return Case.BROKEN;
                 }
             };
             for (int index = 0; index < MINIONS; index++) {
@@ -113,12 +101,12 @@
     private static int watch(Journal journal, Client client, AtomicInteger starts) {
         long endMillis = journal.millis() + FINISH_MILLIS + IDLE_MILLIS;
         for (int turn = 0; journal.millis() < endMillis; turn++) {
-            if (client.state(turn, JOB).equals("succeeded")) return 0;
+            if (client.state(turn, JOB).equals("succeeded")) return Case.HELD;
             Minion.sleep(1_000);
         }
         String state = client.state(0, JOB);
-        if (starts.get() > 0) return 0;
+        if (starts.get() > 0) return Case.HELD;
         journal.add("LOST: nothing of the job has run, its minion is up and idle; shown as " + state);
-        return 1;
+        return Case.BROKEN;
     }
 }
--- a/review/standins-3/src/review3/Deployment.java
+++ b/review/standins-3/src/review3/Deployment.java
@@ -69,7 +69,7 @@
     /** Starts all processes, as the first start of the system. */
     void start() throws IOException {
         // Without this hook, the processes would outlive a terminated case.
-        Runtime.getRuntime().addShutdownHook(new Thread(() -> processes.values().forEach(Process::destroyForcibly)));
+        Runtime.getRuntime().addShutdownHook(new Thread(this::close));
         for (String name : settings.keySet()) start(name);
     }
 
@@ -90,24 +90,10 @@
         journal.add("process " + name + " started");
     }
 
-    /** Sends a signal, such as STOP, CONT, TERM or KILL, to a process that this deployment started. */
-    void signal(String name, String signal) throws IOException, InterruptedException {
-        journal.add("process " + name + " gets SIG" + signal);
-        new ProcessBuilder("kill", "-" + signal, "" + processes.get(name).pid()).start().waitFor();
-    }
-
-    void awaitEnd(String name, int seconds) throws InterruptedException {
-        processes.get(name).waitFor(seconds, TimeUnit.SECONDS);
-    }
-
     boolean isAlive(String name) {
         return processes.get(name).isAlive();
     }
 
-    Path log(String name) {
-        return folder.resolve(name + ".log");
-    }
-
     /** Publishes a desired state and waits until it is acknowledged. */
     void publish(String document) throws IOException, InterruptedException {
         for (int attempt = 0; attempt < 150; attempt++) {
@@ -135,25 +121,6 @@
         throw new IllegalStateException("the entry hosts did not become ready");
     }
 
-    /** Returns the name of the control host that wrote last that it leads. */
-    String leader() throws IOException {
-        String found = null;
-        long newest = -1;
-        for (String name : settings.keySet()) {
-            if (!name.startsWith("core")) continue;
-            try (Stream<String> lines = Files.lines(log(name))) {
-                for (String line : lines.filter(it -> it.contains("\"leadership_ready\"")).toList()) {
-                    long time = Long.parseLong(line.replaceAll(".*?\"timestamp\":(\\d+).*", "$1"));
-                    if (time > newest) {
-                        newest = time;
-                        found = name;
-                    }
-                }
-            }
-        }
-        return found;
-    }
-
     private List<String> command(String role) throws IOException {
         boolean inRole = false;
         for (String line : Files.readAllLines(root.resolve("deploy/system.toml"))) {
@@ -166,7 +133,7 @@
     }
 
     @Override
-    public void close() throws IOException {
+    public synchronized void close() {
         for (Process process : processes.values()) {
             process.destroyForcibly();
             try {
@@ -175,17 +142,10 @@
                 Thread.currentThread().interrupt();
             }
         }
-        String keep = System.getenv("KEEP_LOGS");
-        if (keep != null) {
-            for (String name : settings.keySet()) {
-                if (Files.exists(log(name))) {
-                    Files.copy(log(name), Path.of(keep, name + ".log"),
-                            java.nio.file.StandardCopyOption.REPLACE_EXISTING);
-                }
-            }
-        }
         try (Stream<Path> files = Files.walk(folder)) {
             files.sorted(Comparator.reverseOrder()).forEach(file -> file.toFile().delete());
+        } catch (IOException e) {
+            // The folder is gone already.
         }
     }
 }
--- a/review/standins-3/src/review3/GangEndCase.java
+++ b/review/standins-3/src/review3/GangEndCase.java
@@ -1,6 +1,5 @@
 package review3;
 
-import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -22,19 +21,8 @@
     private static final long IDLE_MILLIS = 3_000;
     private static final long SLACK_MILLIS = 3_000;
 
-    public static void main(String[] args) throws Exception {
-        boolean trouble = !"0".equals(System.getenv("TROUBLE"));
-        try (Journal journal = new Journal(Path.of(args[0], "record.txt"))) {
-            int verdict;
-            try {
-                verdict = play(journal, trouble);
-            } catch (Exception e) {
-                journal.add("the case could not run: " + e);
-                verdict = 2;
-            }
-            journal.add("verdict " + verdict);
-            System.exit(verdict);
-        }
+    public static void main(String[] args) {
+        Case.run(args[0], GangEndCase::play);
     }
 
     private static int play(Journal journal, boolean trouble) throws Exception {
@@ -107,10 +95,10 @@
             if (idleSinceMillis >= 0 && journal.millis() - idleSinceMillis >= IDLE_MILLIS) {
                 journal.add("LOST: no task of the job runs, from 6 s after its last run on for 3 s; shown as "
                         + client.state(0, JOB));
-                return 1;
+                return Case.BROKEN;
             }
             Minion.sleep(100);
         }
-        return 0;
+        return Case.HELD;
     }
 }
--- a/review/standins-3/src/review3/LateStartCase.java
+++ b/review/standins-3/src/review3/LateStartCase.java
@@ -1,6 +1,5 @@
 package review3;
 
-import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -21,19 +20,8 @@
     private static final long BEFORE_MILLIS = 600;
     private static final long FIRST_PING_MILLIS = 1_200;
 
-    public static void main(String[] args) throws Exception {
-        boolean trouble = !"0".equals(System.getenv("TROUBLE"));
-        try (Journal journal = new Journal(Path.of(args[0], "record.txt"))) {
-            int verdict;
-            try {
-                verdict = play(journal, trouble);
-            } catch (Exception e) {
-                journal.add("the case could not run: " + e);
-                verdict = 2;
-            }
-            journal.add("verdict " + verdict);
-            System.exit(verdict);
-        }
+    public static void main(String[] args) {
+        Case.run(args[0], LateStartCase::play);
     }
 
     private static int play(Journal journal, boolean trouble) throws Exception {
@@ -54,7 +42,7 @@
 
                 @Override
                 public long gpus(String task) {
-                    return 1;
+                    return Case.BROKEN;
                 }
             };
             for (int index = 0; index < MINIONS; index++) {
@@ -100,7 +88,7 @@
             Thread.sleep(4_000);
             client.state(1, JOB);
             broken.forEach(line -> journal.add("TWICE: " + line));
-            return broken.isEmpty() ? 0 : 1;
+            return broken.isEmpty() ? Case.HELD : Case.BROKEN;
         }
     }
 }
--- a/review/standins-3/src/review3/MalformedCase.java
+++ b/review/standins-3/src/review3/MalformedCase.java
@@ -5,7 +5,6 @@
 import java.io.IOException;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
-import java.nio.file.Path;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -22,19 +21,8 @@
     private static final long RESTART_MILLIS = 1_000;
     private static final long ROUND_MILLIS = 8_000;
 
-    public static void main(String[] args) throws Exception {
-        boolean trouble = !"0".equals(System.getenv("TROUBLE"));
-        try (Journal journal = new Journal(Path.of(args[0], "record.txt"))) {
-            int verdict;
-            try {
-                verdict = play(journal, trouble);
-            } catch (Exception e) {
-                journal.add("the case could not run: " + e);
-                verdict = 2;
-            }
-            journal.add("verdict " + verdict);
-            System.exit(verdict);
-        }
+    public static void main(String[] args) {
+        Case.run(args[0], MalformedCase::play);
     }
 
     private static int play(Journal journal, boolean trouble) throws Exception {
@@ -53,9 +41,9 @@
             }
             long often = ends.values().stream().filter(count -> count >= ROUNDS).count();
             journal.add("ends of processes by themselves: " + ends);
-            if (often < TARGETS.size()) return 0;
+            if (often < TARGETS.size()) return Case.HELD;
             journal.add("Fault: on half of the core, processes ended by themselves " + ROUNDS + " times");
-            return 1;
+            return Case.BROKEN;
         }
     }
 
